Add the design page, the build skeleton and the core package

Cause: the repository was empty; the packages need shared verdict, reason, priority, time and error types before they can be built side by side. Conclusion: the packages can be developed on these types.

--- /dev/null
+++ b/packages/core/include/laburnumreach/core/time.hpp
@@ -0,0 +1,40 @@
+#ifndef LABURNUMREACH_CORE_TIME_HPP
+#define LABURNUMREACH_CORE_TIME_HPP
+
+#include <chrono>
+#include <concepts>
+
+namespace laburnumreach::core
+{
+
+/// Elapsed time in nanoseconds.
+using duration = std::chrono::nanoseconds;
+
+/// Monotonic clock that also advances while the VM is suspended, so that a lease lapses during a pause.
+struct boot_clock
+{
+    using rep = std::chrono::nanoseconds::rep;
+    using period = std::chrono::nanoseconds::period;
+    using duration = std::chrono::nanoseconds;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+
+    /// Returns the time since boot (CLOCK_BOOTTIME).
+    static time_point now() noexcept;
+};
+
+/// A point on the monotonic clock of this VM. Never sent to another VM: messages carry durations.
+using time_point = boot_clock::time_point;
+
+/// A source of the current time, replaced in tests.
+template <typename Clock>
+concept clock_source = requires(Clock clock)
+{
+    {
+        clock.now()
+        } -> std::same_as<time_point>;
+};
+
+} // namespace laburnumreach::core
+
+#endif
