Add the http package: server, strict request checks and client pool

Cause: the daemon needs HTTP traffic with strict checks, bounded threads and certainty about what was sent.

Change: a server that parks idle connections in epoll and runs requests on a bounded pool, a strict parser for both directions, and a pooled client that tells connect failure, nothing sent, maybe sent and whole response apart. The library binds the listener and runs process_request; its header parser, accept loop and client are not used.

--- /dev/null
+++ b/packages/http/include/laburnumreach/http/body_framing.hpp
@@ -0,0 +1,26 @@
+#ifndef LABURNUMREACH_HTTP_BODY_FRAMING_HPP
+#define LABURNUMREACH_HTTP_BODY_FRAMING_HPP
+
+#include <cstdint>
+
+namespace laburnumreach::http
+{
+
+/// How the end of a message body is found.
+struct body_framing
+{
+    enum class kind : std::uint8_t
+    {
+        none,        ///< The message has no body.
+        length,      ///< Content-Length.
+        chunked,     ///< Transfer-Encoding: chunked.
+        until_close, ///< Responses only: neither is given, so the end cannot be known.
+    };
+
+    kind type = kind::none;
+    std::uint64_t length = 0; ///< Bytes, for kind::length.
+};
+
+} // namespace laburnumreach::http
+
+#endif
--- /dev/null
+++ b/packages/http/include/laburnumreach/http/message_fault.hpp
@@ -0,0 +1,40 @@
+#ifndef LABURNUMREACH_HTTP_MESSAGE_FAULT_HPP
+#define LABURNUMREACH_HTTP_MESSAGE_FAULT_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace laburnumreach::http
+{
+
+/// Why a message was refused before anything acted on it.
+enum class message_fault : std::uint8_t
+{
+    malformed_start_line,
+    unknown_version,
+    target_not_origin_form, ///< Absolute form, asterisk form, CONNECT, or characters outside visible ASCII.
+    bare_line_break,        ///< LF without CR.
+    control_character,      ///< A control character, including CR without LF, in a header.
+    malformed_field,        ///< No colon, white space before the colon, a folded line or a bad name.
+    head_too_large,
+    host_missing,
+    host_repeated,
+    host_malformed,
+    length_repeated,
+    length_malformed, ///< Content-Length that is not a plain decimal number.
+    length_and_transfer_encoding,
+    transfer_encoding_unsupported, ///< Anything but a single "chunked", or any in HTTP/1.0.
+    body_malformed,                ///< Broken chunk framing.
+};
+
+/// Number of values of message_fault.
+inline constexpr std::size_t message_fault_count =
+    static_cast<std::size_t>(message_fault::body_malformed) + 1;
+
+/// Returns the name used in metric labels.
+std::string_view to_string(message_fault value) noexcept;
+
+} // namespace laburnumreach::http
+
+#endif
--- /dev/null
+++ b/packages/http/include/laburnumreach/http/message_head.hpp
@@ -0,0 +1,56 @@
+#ifndef LABURNUMREACH_HTTP_MESSAGE_HEAD_HPP
+#define LABURNUMREACH_HTTP_MESSAGE_HEAD_HPP
+
+#include "laburnumreach/http/body_framing.hpp"
+#include "laburnumreach/http/headers.hpp"
+#include "laburnumreach/http/message_fault.hpp"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace laburnumreach::http
+{
+
+/// Request line and header fields, byte for byte as the caller sent them.
+struct request_head
+{
+    std::string method{};
+    std::string target{}; ///< Origin form: path and query, not decoded.
+    http::headers headers{};
+    body_framing framing{};
+    bool keep_alive = true;
+    bool expects_continue = false;
+};
+
+/// Status line and header fields of a response.
+struct response_head
+{
+    int status = 0;
+    http::headers headers{};
+    body_framing framing{};
+    bool keep_alive = true;
+};
+
+/// Looks for the empty line that ends a head.
+/// @param bytes all bytes received so far
+/// @param scanned bytes already searched by an earlier call, updated by this call; starts at zero
+/// @param limit largest head in bytes
+/// @returns the size of the head with its empty line, or zero when more bytes are needed
+tl::expected<std::size_t, message_fault> find_head_end(std::string_view bytes, std::size_t& scanned,
+                                                       std::size_t limit);
+
+/// Parses a head found by find_head_end and refuses whatever two parsers could read differently.
+///
+/// The library's parser is not used for this: it decodes %XX in header values, so that %0d%0a becomes a line
+/// break that a forwarded request would carry, and accepts repeated lengths.
+tl::expected<request_head, message_fault> parse_request_head(std::string_view head);
+
+/// Parses the head of a response.
+/// @param to_head_request whether the response answers a HEAD request and so has no body
+tl::expected<response_head, message_fault> parse_response_head(std::string_view head, bool to_head_request);
+
+} // namespace laburnumreach::http
+
+#endif
--- /dev/null
+++ b/packages/http/include/laburnumreach/http/outgoing_request.hpp
@@ -0,0 +1,40 @@
+#ifndef LABURNUMREACH_HTTP_OUTGOING_REQUEST_HPP
+#define LABURNUMREACH_HTTP_OUTGOING_REQUEST_HPP
+
+#include "laburnumreach/core/time.hpp"
+#include "laburnumreach/http/headers.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace laburnumreach::http
+{
+
+/// A request to forward. The views must stay valid during the exchange.
+struct outgoing_request
+{
+    std::string_view method = "GET";
+    std::string_view target = "/";
+    /// Fields to send. Connection, Content-Length, Transfer-Encoding and Expect in it are left out, and
+    /// Content-Length is written for the body. Host is the destination unless given.
+    const http::headers* headers = nullptr;
+    std::string_view body{};
+    core::time_point deadline = core::time_point::max();
+    std::size_t max_response_body_bytes = 16 * 1024 * 1024;
+    /// Longest wait for the first byte of the response after the request was written; zero for no limit but
+    /// the deadline. Running out gives exchange_fault::silent.
+    std::chrono::milliseconds first_byte_timeout{0};
+    /// Called once when no byte of the response came within quiet_after; returning false gives up with
+    /// exchange_fault::silent. Use it to probe the destination (client_pool::probe) or to report it.
+    std::function<bool()> on_quiet{};
+    std::chrono::milliseconds quiet_after{0};
+    /// A descriptor whose hang-up cancels the exchange (incoming_request::descriptor); -1 for none.
+    int cancel_on_hangup = -1;
+};
+
+} // namespace laburnumreach::http
+
+#endif
--- /dev/null
+++ b/packages/http/src/connection_table.hpp
@@ -0,0 +1,91 @@
+#ifndef LABURNUMREACH_HTTP_CONNECTION_TABLE_HPP
+#define LABURNUMREACH_HTTP_CONNECTION_TABLE_HPP
+
+#include "laburnumreach/http/server_counters.hpp"
+#include "laburnumreach/http/server_options.hpp"
+#include "server_connection.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace laburnumreach::http
+{
+
+/// All connections of a server and the epoll set in which they are parked. Thread safe.
+///
+/// Slots are never freed, so an event for a connection that was closed meanwhile finds a slot of another
+/// generation and is ignored. Parked connections are armed one-shot: one worker takes each event.
+class connection_table
+{
+public:
+    connection_table(const server_options& options, server_counters& counters);
+
+    /// Registers an accepted socket as busy.
+    /// @returns null when even the slots reserved for refusals are taken; the socket is closed
+    server_connection* add(tcp_socket socket, std::string peer_address);
+
+    /// Returns whether further callers must be refused.
+    bool full() const;
+
+    /// Waits for a parked connection to become readable and makes it busy.
+    /// @returns null after wake_all or for an event that is no longer valid
+    server_connection* wait();
+
+    /// Parks a busy connection. During a drain, an idle connection without waiting bytes is closed instead.
+    void park(server_connection& connection, connection_phase phase);
+
+    /// Closes a busy connection.
+    void close(server_connection& connection);
+
+    /// Closes parked connections whose time is up.
+    void close_expired(core::time_point now);
+
+    /// Closes idle connections now and in future.
+    void begin_drain();
+
+    bool draining() const noexcept { return this->drain.load(); }
+
+    /// Waits until no connection is open.
+    bool wait_until_empty(core::time_point deadline);
+
+    /// Makes every call of wait return at once, and shuts down all sockets so that reads and writes fail.
+    void begin_stop();
+
+    /// Closes every connection. Call it when no worker runs any more.
+    void close_all();
+
+    bool stopping() const noexcept { return this->stop.load(); }
+
+private:
+    struct slot_key
+    {
+        std::uint32_t index;
+        std::uint32_t generation;
+    };
+
+    void arm(server_connection& connection, bool is_new);
+    void close_locked(server_connection& connection);
+    core::duration time_allowed(connection_phase phase) const;
+    void close_if_idle(server_connection& connection);
+
+    const server_options& options;
+    server_counters& counters;
+    tcp_socket epoll;
+    tcp_socket wake;
+    std::vector<std::unique_ptr<server_connection>> slots;
+    mutable std::mutex mutex; ///< Guards unused. Taken inside the lock of a connection.
+    std::condition_variable emptied;
+    std::vector<std::uint32_t> unused;
+    std::atomic<bool> drain{false};
+    std::atomic<bool> stop{false};
+};
+
+} // namespace laburnumreach::http
+
+#endif
--- /dev/null
+++ b/packages/http/src/message_head.cpp
@@ -0,0 +1,254 @@
+#include "laburnumreach/http/message_head.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace laburnumreach::http
+{
+
+namespace
+{
+
+constexpr std::string_view line_end = "\r\n";
+
+using fault_or_none = std::optional<message_fault>;
+
+bool is_digit(char character) noexcept
+{
+    return character >= '0' && character <= '9';
+}
+
+/// Removes the next line with its line end from text.
+std::string_view take_line(std::string_view& text)
+{
+    const std::size_t size = std::min(text.find(line_end), text.size());
+    const std::string_view line = text.substr(0, size);
+    text.remove_prefix(std::min(size + line_end.size(), text.size()));
+    return line;
+}
+
+std::string_view trim(std::string_view value)
+{
+    constexpr std::string_view blanks = " \t";
+    value.remove_prefix(std::min(value.find_first_not_of(blanks), value.size()));
+    return value.substr(0, value.find_last_not_of(blanks) + 1);
+}
+
+fault_or_none parse_fields(std::string_view text, headers& fields)
+{
+    for (std::string_view line = take_line(text); !line.empty(); line = take_line(text))
+    {
+        const std::size_t colon = line.find(':');
+        if (colon == std::string_view::npos)
+        {
+            return message_fault::malformed_field;
+        }
+        const std::string_view name = line.substr(0, colon);
+        const std::string_view value = trim(line.substr(colon + 1));
+        if (!is_valid_field(name, {}))
+        {
+            return message_fault::malformed_field;
+        }
+        if (!is_valid_field(name, value))
+        {
+            return message_fault::control_character;
+        }
+        fields.emplace(name, value);
+    }
+    return std::nullopt;
+}
+
+/// Reads the framing fields.
+/// @param otherwise the framing of a message without them
+tl::expected<body_framing, message_fault> parse_framing(const headers& fields, bool is_http_1_0,
+                                                        body_framing::kind otherwise)
+{
+    const std::size_t lengths = fields.count("Content-Length");
+    const std::size_t encodings = fields.count("Transfer-Encoding");
+    if (lengths > 0 && encodings > 0)
+    {
+        return tl::unexpected{message_fault::length_and_transfer_encoding};
+    }
+    if (encodings > 0)
+    {
+        const std::string_view encoding = find_header(fields, "Transfer-Encoding");
+        if (encodings > 1 || is_http_1_0 || !equal_ignoring_case(encoding, "chunked"))
+        {
+            return tl::unexpected{message_fault::transfer_encoding_unsupported};
+        }
+        return body_framing{.type = body_framing::kind::chunked};
+    }
+    if (lengths > 1)
+    {
+        return tl::unexpected{message_fault::length_repeated};
+    }
+    if (lengths == 0)
+    {
+        return body_framing{.type = otherwise};
+    }
+    // 18 digits fit 64 bits, so from_chars cannot overflow.
+    constexpr std::size_t most_digits = 18;
+    const std::string_view text = find_header(fields, "Content-Length");
+    if (text.empty() || text.size() > most_digits || !std::all_of(text.begin(), text.end(), is_digit))
+    {
+        return tl::unexpected{message_fault::length_malformed};
+    }
+    body_framing framing{.type = body_framing::kind::length};
+    std::from_chars(text.data(), text.data() + text.size(), framing.length);
+    return framing;
+}
+
+fault_or_none check_host(const headers& fields)
+{
+    const std::size_t hosts = fields.count("Host");
+    if (hosts != 1)
+    {
+        return hosts == 0 ? message_fault::host_missing : message_fault::host_repeated;
+    }
+    const std::string_view host = find_header(fields, "Host");
+    if (host.empty() || host.find_first_of(" \t/?#@,\\") != std::string_view::npos)
+    {
+        return message_fault::host_malformed;
+    }
+    return std::nullopt;
+}
+
+fault_or_none check_target(std::string_view method, std::string_view target)
+{
+    const auto is_allowed = [](char character)
+    { return character > ' ' && character < '\x7f' && character != '#'; };
+    if (method == "CONNECT" || !target.starts_with('/') ||
+        !std::all_of(target.begin(), target.end(), is_allowed))
+    {
+        return message_fault::target_not_origin_form;
+    }
+    return std::nullopt;
+}
+
+/// @returns whether it is HTTP/1.0, or no value for an unknown version
+std::optional<bool> parse_version(std::string_view version)
+{
+    if (version == "HTTP/1.1")
+    {
+        return false;
+    }
+    return version == "HTTP/1.0" ? std::optional{true} : std::nullopt;
+}
+
+} // namespace
+
+tl::expected<std::size_t, message_fault> find_head_end(std::string_view bytes, std::size_t& scanned,
+                                                       std::size_t limit)
+{
+    constexpr std::string_view head_end = "\r\n\r\n";
+    for (std::size_t feed = bytes.find('\n', scanned); feed != std::string_view::npos;
+         feed = bytes.find('\n', scanned))
+    {
+        scanned = feed + 1;
+        if (scanned > limit)
+        {
+            return tl::unexpected{message_fault::head_too_large};
+        }
+        if (feed == 0 || bytes[feed - 1] != '\r')
+        {
+            return tl::unexpected{message_fault::bare_line_break};
+        }
+        if (scanned == line_end.size())
+        {
+            return tl::unexpected{message_fault::malformed_start_line};
+        }
+        if (bytes.substr(0, scanned).ends_with(head_end))
+        {
+            return scanned;
+        }
+    }
+    if (bytes.size() > limit)
+    {
+        return tl::unexpected{message_fault::head_too_large};
+    }
+    scanned = bytes.size();
+    return 0;
+}
+
+tl::expected<request_head, message_fault> parse_request_head(std::string_view head)
+{
+    const std::string_view line = take_line(head);
+    const std::size_t method_end = line.find(' ');
+    const std::size_t target_end = line.rfind(' ');
+    if (method_end == std::string_view::npos || method_end == target_end)
+    {
+        return tl::unexpected{message_fault::malformed_start_line};
+    }
+    const std::string_view method = line.substr(0, method_end);
+    const std::string_view target = line.substr(method_end + 1, target_end - method_end - 1);
+    if (!is_valid_field(method, {}) || target.find(' ') != std::string_view::npos)
+    {
+        return tl::unexpected{message_fault::malformed_start_line};
+    }
+    const std::optional<bool> is_http_1_0 = parse_version(line.substr(target_end + 1));
+    if (!is_http_1_0)
+    {
+        return tl::unexpected{message_fault::unknown_version};
+    }
+    request_head parsed{.method = std::string{method}, .target = std::string{target}};
+    for (const fault_or_none fault : {check_target(method, target), parse_fields(head, parsed.headers)})
+    {
+        if (fault)
+        {
+            return tl::unexpected{*fault};
+        }
+    }
+    if (const fault_or_none fault = check_host(parsed.headers))
+    {
+        return tl::unexpected{*fault};
+    }
+    const auto framing = parse_framing(parsed.headers, *is_http_1_0, body_framing::kind::none);
+    if (!framing)
+    {
+        return tl::unexpected{framing.error()};
+    }
+    parsed.framing = *framing;
+    parsed.keep_alive = !*is_http_1_0 && !has_token(parsed.headers, "Connection", "close");
+    parsed.expects_continue = !*is_http_1_0 && has_token(parsed.headers, "Expect", "100-continue");
+    return parsed;
+}
+
+tl::expected<response_head, message_fault> parse_response_head(std::string_view head, bool to_head_request)
+{
+    constexpr std::size_t status_begin = 9; // Behind "HTTP/1.1 ".
+    constexpr std::size_t status_digits = 3;
+    const std::string_view line = take_line(head);
+    const std::optional<bool> is_http_1_0 = parse_version(line.substr(0, status_begin - 1));
+    if (!is_http_1_0)
+    {
+        return tl::unexpected{message_fault::unknown_version};
+    }
+    const std::string_view status = line.substr(std::min(line.size(), status_begin), status_digits);
+    const std::string_view phrase = line.substr(std::min(line.size(), status_begin + status_digits));
+    if (line[status_begin - 1] != ' ' || status.size() != status_digits || status.front() == '0' ||
+        !std::all_of(status.begin(), status.end(), is_digit) || (!phrase.empty() && phrase.front() != ' ') ||
+        !is_valid_field("phrase", phrase))
+    {
+        return tl::unexpected{message_fault::malformed_start_line};
+    }
+    response_head parsed;
+    std::from_chars(status.data(), status.data() + status.size(), parsed.status);
+    if (const fault_or_none fault = parse_fields(head, parsed.headers))
+    {
+        return tl::unexpected{*fault};
+    }
+    const auto framing = parse_framing(parsed.headers, *is_http_1_0, body_framing::kind::until_close);
+    if (!framing)
+    {
+        return tl::unexpected{framing.error()};
+    }
+    constexpr int first_final_status = 200;
+    const bool has_body = !to_head_request && parsed.status >= first_final_status && parsed.status != 204 &&
+                          parsed.status != 304;
+    parsed.framing = has_body ? *framing : body_framing{};
+    parsed.keep_alive = !*is_http_1_0 && !has_token(parsed.headers, "Connection", "close");
+    return parsed;
+}
+
+} // namespace laburnumreach::http
--- /dev/null
+++ b/packages/http/src/tcp_socket.hpp
@@ -0,0 +1,93 @@
+#ifndef LABURNUMREACH_HTTP_TCP_SOCKET_HPP
+#define LABURNUMREACH_HTTP_TCP_SOCKET_HPP
+
+#include "laburnumreach/core/time.hpp"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace laburnumreach::http
+{
+
+/// Result of one socket operation.
+enum class io_status : std::uint8_t
+{
+    ok,
+    would_block,
+    closed,    ///< The peer closed its side.
+    failed,    ///< Reset or another error.
+    silent,    ///< The system gave up on a peer that acknowledges nothing.
+    timed_out, ///< The time given to wait ran out.
+    hung_up,   ///< The watched descriptor hung up.
+};
+
+/// Status and number of bytes moved.
+struct io_result
+{
+    io_status status = io_status::ok;
+    std::size_t size = 0;
+};
+
+/// Owner of a non-blocking TCP socket.
+class tcp_socket
+{
+public:
+    tcp_socket() = default;
+    explicit tcp_socket(int descriptor) noexcept : handle(descriptor) {}
+    tcp_socket(tcp_socket&& other) noexcept : handle(std::exchange(other.handle, -1)) {}
+    tcp_socket& operator=(tcp_socket&& other) noexcept;
+    tcp_socket(const tcp_socket&) = delete;
+    tcp_socket& operator=(const tcp_socket&) = delete;
+    ~tcp_socket();
+
+    int descriptor() const noexcept { return this->handle; }
+    bool is_open() const noexcept { return this->handle >= 0; }
+    void close() noexcept;
+
+    /// Switches on TCP_NODELAY, keep-alive probes and TCP_USER_TIMEOUT.
+    /// @param silent_peer_timeout when a silent peer is given up
+    void set_options(std::chrono::milliseconds silent_peer_timeout) const noexcept;
+
+    /// Receives what is there, without waiting.
+    io_result receive(std::span<char> buffer) const noexcept;
+
+    /// Receives what is there behind the content of a string, without waiting.
+    /// @param most largest number of bytes to add
+    io_result receive_behind(std::string& buffer, std::size_t most) const;
+
+    /// Sends what the system takes of the parts, without waiting.
+    io_result send(std::span<const std::string_view> parts) const noexcept;
+
+    /// Looks at the next byte without consuming it: ok when there is one.
+    io_status peek() const noexcept;
+
+    /// Returns whether the peer closed or reset the connection, also behind unread bytes.
+    bool peer_closed() const noexcept;
+
+    /// Ends the own side of the connection.
+    void shutdown_write() const noexcept;
+
+    /// Result of wait.
+    struct readiness
+    {
+        io_status status = io_status::ok;
+        short events = 0; ///< POLLIN, POLLOUT, POLLERR, POLLHUP.
+    };
+
+    /// Waits for events of poll().
+    /// @param watched a descriptor whose hang-up ends the wait, or -1
+    readiness wait(short events, core::time_point until, int watched = -1) const noexcept;
+
+private:
+    int handle = -1;
+};
+
+} // namespace laburnumreach::http
+
+#endif
