Add the config package and the platform client

Cause: the daemon and the operators' tool need one checked form of the operators' text and the daemon settings, and a client of the object API. Change: package config (operators' text, daemon settings, lookups, document of config/current) and package platform (object store concept, HTTP client, conditional update that recognises its own write, config repository). The HTTP client compiles but was not run against a server yet. Conclusion: the daemon can be written on these headers.

--- /dev/null
+++ b/packages/config/include/laburnumreach/config/fleet_config_text.hpp
@@ -0,0 +1,43 @@
+#ifndef LABURNUMREACH_CONFIG_FLEET_CONFIG_TEXT_HPP
+#define LABURNUMREACH_CONFIG_FLEET_CONFIG_TEXT_HPP
+
+#include "laburnumreach/config/fleet_config.hpp"
+#include "laburnumreach/config/text_error.hpp"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace laburnumreach::config
+{
+
+/// Bounds on the operators' text. They keep the stored document below the 1 MB value limit of the platform
+/// and the time to check a text far below a second.
+struct fleet_limits
+{
+    static constexpr std::size_t text_bytes = 900'000;
+    static constexpr std::size_t zones = 64;
+    static constexpr std::size_t services = 1'000;
+    static constexpr std::size_t routes = 10'000;
+    static constexpr std::size_t tenants = 10'000;
+    static constexpr std::size_t keys_per_tenant = 64;
+    static constexpr std::size_t drained_instances = 10'000;
+    static constexpr std::size_t name_bytes = 64;
+    static constexpr std::size_t path_bytes = 512;
+    static constexpr std::int64_t max_body_bytes = 1LL << 30;
+    static constexpr double rate = 1e9;
+    static constexpr double burst = 1e9;
+    static constexpr double weight = 1e6;
+};
+
+/// Parses and checks the operators' text.
+/// @returns the whole configuration, or every fault found; never a part of a configuration
+text_result<fleet_config> parse_fleet_config(std::string_view text);
+
+/// Writes a configuration as operators' text. Comments and the order of names of the text it was read from
+/// are lost. The text parses to an equal configuration when the configuration is valid.
+std::string to_toml(const fleet_config& config);
+
+} // namespace laburnumreach::config
+
+#endif
