Add the overload package: exit side, caller side and naive baseline

Change: exit_control combines concurrency_limiter, fair_queue and admission_control for one upstream instance. destination combines instance_selector, admission_gate and retry_budget for one called service. tenant_shares assigns admission positions at the entry, attempt_counter and retry_policy bound retries over the chain. naive_exit, naive_destination and naive_retry are the baseline. Conclusion: the interfaces are ready for wiring; the control constants are not tuned.

--- /dev/null
+++ b/packages/overload/include/laburnumreach/overload/admission_gate.hpp
@@ -0,0 +1,66 @@
+#ifndef LABURNUMREACH_OVERLOAD_ADMISSION_GATE_HPP
+#define LABURNUMREACH_OVERLOAD_ADMISSION_GATE_HPP
+
+#include "laburnumreach/core/random_source.hpp"
+#include "laburnumreach/core/time.hpp"
+#include "laburnumreach/overload/admission_position.hpp"
+#include "laburnumreach/overload/aged_level.hpp"
+#include "laburnumreach/overload/share_guarantee.hpp"
+
+#include <cstdint>
+
+namespace laburnumreach::overload
+{
+
+/// Applies admission levels before a call is sent. Keep one for each pair of called service and set of
+/// dependencies that the called route calls, since routes without the overloaded dependency stay open.
+/// Not thread safe.
+class admission_gate
+{
+public:
+    /// Share of refused calls that is sent as probes, and the shortest interval between two probes.
+    static constexpr double probe_share = 0.01;
+    static constexpr core::duration probe_interval = std::chrono::milliseconds{100};
+
+    enum class decision : std::uint8_t
+    {
+        admitted,
+        /// Admitted against the level, for the minimum share of its class or as a probe.
+        admitted_over_level,
+        refused,
+    };
+
+    explicit admission_gate(const class_shares& minimum_shares = default_minimum_shares)
+        : guarantee(minimum_shares)
+    {
+    }
+
+    /// Records the dependency level of an answer.
+    void record(core::time_point now, admission_level dependency_level)
+    {
+        this->dependencies.set(now, dependency_level);
+    }
+
+    /// Returns the level of the dependencies after decay.
+    admission_level dependency_level(core::time_point now) const noexcept
+    {
+        return this->dependencies.value(now);
+    }
+
+    /// Decides on a request from outside.
+    /// @param service_level own level of the called service
+    decision admit(core::time_point now, admission_position position, admission_level service_level,
+                   core::random_source& random);
+
+private:
+    bool owed_minimum_share(admission_position position) const noexcept;
+    bool probe_due(core::time_point now, core::random_source& random);
+
+    aged_level dependencies;
+    share_guarantee guarantee;
+    core::time_point last_probe{};
+};
+
+} // namespace laburnumreach::overload
+
+#endif
--- /dev/null
+++ b/packages/overload/include/laburnumreach/overload/aged_level.hpp
@@ -0,0 +1,37 @@
+#ifndef LABURNUMREACH_OVERLOAD_AGED_LEVEL_HPP
+#define LABURNUMREACH_OVERLOAD_AGED_LEVEL_HPP
+
+#include "laburnumreach/core/time.hpp"
+#include "laburnumreach/overload/admission_position.hpp"
+
+namespace laburnumreach::overload
+{
+
+/// A level received from another daemon. It decays when no newer one arrives, so that a gate that let
+/// nothing through reopens without traffic, the most important positions first.
+class aged_level
+{
+public:
+    /// Age up to which a level counts fully; longer than the usual gap between answers.
+    static constexpr core::duration hold = std::chrono::milliseconds{150};
+    /// Time in which a level older than hold falls by half.
+    static constexpr core::duration half_life = std::chrono::milliseconds{100};
+
+    /// Records a level.
+    void set(core::time_point now, admission_level value) noexcept
+    {
+        this->received = now;
+        this->level = value;
+    }
+
+    /// Returns the level after decay.
+    admission_level value(core::time_point now) const noexcept;
+
+private:
+    core::time_point received{};
+    admission_level level = 0;
+};
+
+} // namespace laburnumreach::overload
+
+#endif
--- /dev/null
+++ b/packages/overload/include/laburnumreach/overload/fair_queue.hpp
@@ -0,0 +1,106 @@
+#ifndef LABURNUMREACH_OVERLOAD_FAIR_QUEUE_HPP
+#define LABURNUMREACH_OVERLOAD_FAIR_QUEUE_HPP
+
+#include "laburnumreach/core/time.hpp"
+#include "laburnumreach/overload/queued_call.hpp"
+#include "laburnumreach/overload/share_guarantee.hpp"
+#include "laburnumreach/overload/tenant_rounds.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory_resource>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace laburnumreach::overload
+{
+
+/// Settings of a fair_queue.
+struct queue_options
+{
+    /// Bound over all classes.
+    std::size_t capacity = 1024;
+    /// Bound of each class. The two critical classes together leave room for the others.
+    std::array<std::size_t, core::priority_class_count> class_capacity{384, 384, 384, 256};
+    /// Entries of a class that a more important class does not evict.
+    std::array<std::size_t, core::priority_class_count> reserved{0, 0, 32, 16};
+    class_shares minimum_shares = default_minimum_shares;
+};
+
+/// Identifies an entry until it leaves the queue; a stale ticket is recognised.
+struct queue_ticket
+{
+    std::uint32_t index = 0;
+    std::uint32_t generation = 0;
+
+    friend bool operator==(const queue_ticket&, const queue_ticket&) = default;
+};
+
+/// Result of fair_queue::push.
+struct push_result
+{
+    /// No value when the call was refused because the queue is full.
+    std::optional<queue_ticket> ticket;
+    /// Call that was evicted to make room.
+    std::optional<queued_call> evicted;
+};
+
+/// Queue of the calls that wait for a slot at the exit daemon.
+///
+/// Order: by class, with a minimum share for each class; within a class, calls that already consumed work
+/// (depth > 0) first; then deficit round robin over tenants by weight; then the oldest first. All storage is
+/// reserved by the constructor. Not thread safe.
+class fair_queue
+{
+public:
+    explicit fair_queue(const queue_options& options = {});
+
+    /// Adds a call. A full queue evicts from the least important class and there from the tenant most over
+    /// its share, its newest call first; a call that would itself be evicted is refused.
+    push_result push(const queued_call& call);
+
+    /// Removes the call to run next. Call expire() with the same time first.
+    std::optional<queued_call> pop();
+
+    /// Removes a call whose latest start has passed.
+    /// @returns no value when there is none
+    std::optional<queued_call> expire(core::time_point now);
+
+    /// Removes a cancelled call.
+    /// @returns no value for a ticket that already left the queue
+    std::optional<queued_call> remove(queue_ticket ticket);
+
+    std::size_t size() const noexcept { return this->count; }
+    std::size_t size(core::priority_class cls) const noexcept;
+    bool empty() const noexcept { return this->count == 0; }
+
+private:
+    /// Calls of one class: depth > 0 and new ones.
+    struct class_queue
+    {
+        std::array<tenant_rounds, 2> bands;
+        std::size_t count = 0;
+    };
+
+    tenant_rounds& band_of(const queued_call& call);
+    std::optional<std::uint32_t> victim(class_queue& queue);
+    std::optional<std::uint32_t> choose_victim(const queued_call& incoming);
+    queued_call take(std::uint32_t index);
+    std::optional<std::size_t> next_class() const;
+
+    queue_options options;
+    entry_store store;
+    std::array<class_queue, core::priority_class_count> classes;
+    share_guarantee guarantee;
+    std::pmr::unsynchronized_pool_resource memory;
+    /// Entries by latest start.
+    std::pmr::set<std::pair<core::time_point, std::uint32_t>> by_latest_start{&this->memory};
+    std::size_t count = 0;
+};
+
+} // namespace laburnumreach::overload
+
+#endif
--- /dev/null
+++ b/packages/overload/include/laburnumreach/overload/instance_selector.hpp
@@ -0,0 +1,131 @@
+#ifndef LABURNUMREACH_OVERLOAD_INSTANCE_SELECTOR_HPP
+#define LABURNUMREACH_OVERLOAD_INSTANCE_SELECTOR_HPP
+
+#include "laburnumreach/core/random_source.hpp"
+#include "laburnumreach/core/reason.hpp"
+#include "laburnumreach/core/time.hpp"
+#include "laburnumreach/overload/admission_position.hpp"
+#include "laburnumreach/overload/aged_level.hpp"
+#include "laburnumreach/overload/load_feedback.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace laburnumreach::overload
+{
+
+/// Number that the embedder gives to an instance; never reused for another one.
+using instance_id = std::uint32_t;
+
+/// Settings of an instance_selector.
+struct selector_options
+{
+    /// Time in which the share of a new instance grows from warm_up_start to its full share.
+    core::duration warm_up = std::chrono::seconds{5};
+    double warm_up_start = 0.1;
+    /// First ejection after a connect failure; doubles with each failure in a row.
+    core::duration first_ejection = std::chrono::milliseconds{500};
+    core::duration max_ejection = std::chrono::seconds{30};
+    /// Own calls in flight for each slot, above which an instance counts as saturated.
+    double saturation = 2.0;
+};
+
+/// What a caller knows about an instance from configuration and membership.
+struct instance_info
+{
+    instance_id id = 0;
+    /// Whether it is in the zone of this daemon.
+    bool same_zone = true;
+    std::uint32_t slots = 1;
+    bool draining = false;
+};
+
+/// How a call to an instance ended.
+enum class call_end : std::uint8_t
+{
+    answered,       ///< A complete answer.
+    refused,        ///< Refused by the exit daemon with outcome not_run.
+    connect_failed, ///< Nothing was sent.
+    broken,         ///< Sent, but no complete answer arrived.
+    cancelled,      ///< By this daemon's caller; says nothing about the instance.
+};
+
+/// Picks an instance of one service for each call: the better one of two random candidates by own calls in
+/// flight and observed latency. Not thread safe.
+class instance_selector
+{
+public:
+    explicit instance_selector(const selector_options& selector = {}) : options(selector) {}
+
+    /// Adds an instance or changes what is known about it. A draining instance gets no new calls. One that
+    /// was not known before is warmed up, unless it is among the first instances of the selector.
+    void set_instance(core::time_point now, const instance_info& info);
+
+    /// Removes an instance; calls in flight may still be finished.
+    void remove_instance(instance_id id);
+
+    /// Picks an instance and counts the call as in flight.
+    /// @param position only instances that admit it are candidates; no value for calls that are admitted
+    /// regardless of level
+    /// @param exclude instance that failed the previous attempt; taken only when there is no other one
+    /// @param why set to overloaded or no_instance when no value is returned
+    std::optional<instance_id> pick(core::time_point now, std::optional<admission_position> position,
+                                    std::optional<instance_id> exclude, core::random_source& random,
+                                    core::reason& why);
+
+    /// Records the end of a call.
+    /// @param latency from sending to the answer, less the time that nested calls took if known
+    void finish(core::time_point now, instance_id id, call_end end, core::duration latency,
+                core::random_source& random);
+
+    /// Records the feedback of an answer.
+    void record(core::time_point now, instance_id id, const load_feedback& feedback);
+
+    /// Returns the level at which the whole service refuses: the lowest of the usable instances.
+    admission_level level(core::time_point now) const;
+
+    /// Returns the shortest expected wait that the usable instances reported, less the time since then.
+    core::duration queue_delay(core::time_point now) const;
+
+    /// Returns own calls in flight to an instance; zero for an unknown one.
+    std::uint32_t in_flight(instance_id id) const;
+
+    /// Returns the number of instances that are neither draining nor ejected.
+    std::size_t usable_count(core::time_point now) const;
+
+private:
+    struct instance
+    {
+        instance_info info;
+        core::time_point added{};
+        std::uint32_t in_flight = 0;
+        double latency = 0.0; ///< Smoothed, nanoseconds; zero while unknown.
+        core::time_point ejected_until{};
+        std::uint32_t failures = 0; ///< Connect failures in a row.
+        bool warm = false;
+        aged_level level;
+        /// When the queue that was reported last will have been worked off.
+        core::time_point queue_end{};
+    };
+
+    instance* find(instance_id id);
+    const instance* find(instance_id id) const;
+    bool usable(core::time_point now, const instance& candidate) const;
+    bool saturated(core::time_point now, const instance& candidate) const;
+    double effective_slots(core::time_point now, const instance& candidate) const;
+    double cost(core::time_point now, const instance& candidate, double mean_latency) const;
+    double mean_latency() const;
+    void eject(core::time_point now, instance& failed, core::random_source& random);
+
+    selector_options options;
+    std::vector<instance> instances;
+    /// Scratch space of pick, kept to avoid allocation.
+    std::vector<std::size_t> candidates;
+    bool started = false;
+};
+
+} // namespace laburnumreach::overload
+
+#endif
--- /dev/null
+++ b/packages/overload/include/laburnumreach/overload/naive_retry.hpp
@@ -0,0 +1,27 @@
+#ifndef LABURNUMREACH_OVERLOAD_NAIVE_RETRY_HPP
+#define LABURNUMREACH_OVERLOAD_NAIVE_RETRY_HPP
+
+#include "laburnumreach/overload/retry_policy.hpp"
+
+#include <cstdint>
+
+namespace laburnumreach::overload
+{
+
+/// Baseline for tests and benches: each hop tries three times, whoever saw the failure, as long as a repeated
+/// run is allowed. Over a chain of n hops, one request can cause 3^n attempts.
+class naive_retry
+{
+public:
+    static constexpr std::uint32_t tries_per_hop = 3;
+
+    retry_decision decide(const failed_attempt& failed) const
+    {
+        const bool safe = failed.result.result == core::outcome::not_run || failed.idempotent;
+        return {.retry = safe && failed.tries < tries_per_hop};
+    }
+};
+
+} // namespace laburnumreach::overload
+
+#endif
--- /dev/null
+++ b/packages/overload/include/laburnumreach/overload/queued_call.hpp
@@ -0,0 +1,31 @@
+#ifndef LABURNUMREACH_OVERLOAD_QUEUED_CALL_HPP
+#define LABURNUMREACH_OVERLOAD_QUEUED_CALL_HPP
+
+#include "laburnumreach/core/time.hpp"
+#include "laburnumreach/overload/admission_position.hpp"
+#include "laburnumreach/overload/tenant_shares.hpp"
+
+#include <cstdint>
+
+namespace laburnumreach::overload
+{
+
+/// A call as the exit daemon's queue sees it.
+struct queued_call
+{
+    /// Chosen by the embedder, who finds the waiting request by it.
+    std::uint64_t id = 0;
+    tenant_id tenant = 0;
+    /// Greater than zero.
+    double weight = 1.0;
+    admission_position position;
+    /// Zero for a request from outside; higher for a nested call, whose callers already did work.
+    std::uint32_t depth = 0;
+    /// Deadline less the expected service time.
+    core::time_point latest_start = core::time_point::max();
+    core::time_point enqueued{};
+};
+
+} // namespace laburnumreach::overload
+
+#endif
--- /dev/null
+++ b/packages/overload/include/laburnumreach/overload/retry_budget.hpp
@@ -0,0 +1,42 @@
+#ifndef LABURNUMREACH_OVERLOAD_RETRY_BUDGET_HPP
+#define LABURNUMREACH_OVERLOAD_RETRY_BUDGET_HPP
+
+#include "laburnumreach/core/time.hpp"
+
+namespace laburnumreach::overload
+{
+
+/// Settings of a retry_budget.
+struct retry_budget_options
+{
+    /// Retries allowed for each success.
+    double share = 0.1;
+    /// Retries per second allowed without successes, for destinations with little traffic.
+    double floor_per_second = 1.0;
+    /// Retries that may be saved up; bounds the burst when a destination starts to fail.
+    double max_saved = 20.0;
+};
+
+/// Bounds the retries to one destination service by its successes. Not thread safe.
+class retry_budget
+{
+public:
+    explicit retry_budget(const retry_budget_options& budget = {});
+
+    /// Records a complete answer of the destination.
+    void record_success();
+
+    /// Takes one retry.
+    /// @returns false when the budget is used up
+    bool try_take(core::time_point now);
+
+private:
+    retry_budget_options options;
+    double saved;       ///< From successes.
+    double floor_saved; ///< From the floor, at most one second's worth and at least one.
+    core::time_point updated{};
+};
+
+} // namespace laburnumreach::overload
+
+#endif
--- /dev/null
+++ b/packages/overload/include/laburnumreach/overload/service_time.hpp
@@ -0,0 +1,32 @@
+#ifndef LABURNUMREACH_OVERLOAD_SERVICE_TIME_HPP
+#define LABURNUMREACH_OVERLOAD_SERVICE_TIME_HPP
+
+#include "laburnumreach/core/time.hpp"
+
+namespace laburnumreach::overload
+{
+
+/// Smoothed service time, used to refuse calls that could not be answered before their deadline.
+///
+/// Without observations the estimate fades, since otherwise a high estimate that refuses every call would
+/// never be corrected. Not thread safe.
+class service_time
+{
+public:
+    /// Time without observations in which the estimate falls by half.
+    static constexpr core::duration half_life = std::chrono::milliseconds{500};
+
+    /// Adds the service time of a complete call.
+    void add(core::time_point now, core::duration observed);
+
+    /// Returns the expected service time; zero while unknown.
+    core::duration expected(core::time_point now) const;
+
+private:
+    double mean = 0.0; ///< Nanoseconds.
+    core::time_point updated{};
+};
+
+} // namespace laburnumreach::overload
+
+#endif
--- /dev/null
+++ b/packages/overload/include/laburnumreach/overload/share_guarantee.hpp
@@ -0,0 +1,49 @@
+#ifndef LABURNUMREACH_OVERLOAD_SHARE_GUARANTEE_HPP
+#define LABURNUMREACH_OVERLOAD_SHARE_GUARANTEE_HPP
+
+#include "laburnumreach/core/priority_class.hpp"
+
+#include <array>
+
+namespace laburnumreach::overload
+{
+
+/// Share of each class; the index is the class.
+using class_shares = std::array<double, core::priority_class_count>;
+
+/// Minimum shares of the admitted calls, so that no class starves under strict priority.
+inline constexpr class_shares default_minimum_shares{0.0, 0.10, 0.10, 0.05};
+
+/// Keeps account of the minimum share of each class by credits. Every admitted call adds the share of each
+/// class to its credit, and a call of that class uses one credit up.
+class share_guarantee
+{
+public:
+    /// Credit limit; it bounds the burst that a class may claim after a pause.
+    static constexpr double max_credit = 8.0;
+
+    explicit share_guarantee(const class_shares& minimum_shares = default_minimum_shares)
+        : shares(minimum_shares)
+    {
+    }
+
+    /// Records an admitted call.
+    void admitted(core::priority_class cls) noexcept;
+
+    /// Returns the credit of a class in calls.
+    double credit(core::priority_class cls) const noexcept
+    {
+        return this->credits[static_cast<std::size_t>(cls)];
+    }
+
+    /// Forgets the credit of a class that has no waiting calls.
+    void reset(core::priority_class cls) noexcept { this->credits[static_cast<std::size_t>(cls)] = 0.0; }
+
+private:
+    class_shares shares;
+    class_shares credits{};
+};
+
+} // namespace laburnumreach::overload
+
+#endif
--- /dev/null
+++ b/packages/overload/include/laburnumreach/overload/tenant_shares.hpp
@@ -0,0 +1,57 @@
+#ifndef LABURNUMREACH_OVERLOAD_TENANT_SHARES_HPP
+#define LABURNUMREACH_OVERLOAD_TENANT_SHARES_HPP
+
+#include "laburnumreach/core/random_source.hpp"
+#include "laburnumreach/core/time.hpp"
+#include "laburnumreach/overload/admission_position.hpp"
+
+#include <array>
+#include <cstdint>
+#include <unordered_map>
+
+namespace laburnumreach::overload
+{
+
+/// Number that the embedder gives to a tenant.
+using tenant_id = std::uint32_t;
+
+/// Assigns tenant-fair buckets at the entry daemon. Keep one object per entry service.
+///
+/// A request gets a random place in [0, rate / weight) of its tenant, relative to the highest such value of
+/// any tenant in the class. A level that cuts at one bucket therefore leaves every tenant the same rate per
+/// weight at most (max-min fairness). Not thread safe.
+class tenant_shares
+{
+public:
+    /// Time constant of the rate estimate; short enough to see a surge within the 1 s recovery target.
+    static constexpr core::duration time_constant = std::chrono::milliseconds{500};
+
+    /// Records an offered request and returns its admission position.
+    /// @param weight greater than zero
+    admission_position assign(core::time_point now, core::priority_class cls, tenant_id tenant, double weight,
+                              core::random_source& random);
+
+private:
+    /// Exponentially decayed count of offered requests.
+    struct offered
+    {
+        double count = 0.0;
+        double weight = 1.0;
+        core::time_point updated{};
+    };
+
+    struct class_state
+    {
+        std::unordered_map<tenant_id, offered> tenants;
+        double highest = 0.0; ///< Highest count per weight.
+        core::time_point scanned{};
+    };
+
+    void rescan(core::time_point now, class_state& state);
+
+    std::array<class_state, core::priority_class_count> classes;
+};
+
+} // namespace laburnumreach::overload
+
+#endif
--- /dev/null
+++ b/packages/overload/src/aged_level.cpp
@@ -0,0 +1,20 @@
+#include "laburnumreach/overload/aged_level.hpp"
+
+#include <cmath>
+
+namespace laburnumreach::overload
+{
+
+admission_level aged_level::value(core::time_point now) const noexcept
+{
+    const core::duration age = now - this->received;
+    if (this->level == 0 || age <= hold)
+    {
+        return this->level;
+    }
+    const double halvings =
+        std::chrono::duration<double>(age - hold) / std::chrono::duration<double>(half_life);
+    return static_cast<admission_level>(std::exp2(-halvings) * this->level);
+}
+
+} // namespace laburnumreach::overload
--- /dev/null
+++ b/packages/overload/src/concurrency_limiter.cpp
@@ -0,0 +1,263 @@
+#include "laburnumreach/overload/concurrency_limiter.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace laburnumreach::overload
+{
+
+namespace
+{
+
+/// A window that reached this share of the limit may raise it.
+constexpr double saturated_share = 0.9;
+/// Largest reduction of the limit in one window; larger steps overshoot on a noisy window.
+constexpr double max_reduction = 0.75;
+/// Growth of the limit in one window after slow start, in addition to one call.
+constexpr double growth = 1.1;
+/// The low-water mark is tested once concurrency fell to this share of the reference.
+constexpr double test_share = 0.8;
+/// Latency that fell by less than this share of the fall in concurrency does not depend on concurrency.
+constexpr double dependence = 0.5;
+/// Share of failures in a window that lowers the limit like congestion.
+constexpr double failure_share = 0.1;
+/// Weight of a window in which the low-water mark moves up while the instance is nearly idle.
+constexpr double idle_drift = 0.1;
+
+constexpr double high_load = 0.9;
+/// Lowest factor that a reported load applies to the limit.
+constexpr double min_load_factor = 0.7;
+constexpr double load_step = 0.9;
+/// Time of contradiction by own observation after which reported load is ignored.
+constexpr core::duration load_patience = std::chrono::milliseconds{500};
+constexpr core::duration first_load_distrust = std::chrono::seconds{30};
+constexpr core::duration max_load_distrust = std::chrono::minutes{10};
+
+} // namespace
+
+concurrency_limiter::concurrency_limiter(std::uint32_t slots, const limiter_options& limiter)
+    : options(limiter),
+      announced_slots(slots),
+      computed_limit(std::min<double>(limiter.initial_limit, slots)),
+      load_distrust(first_load_distrust)
+{
+    assert(slots >= 1);
+}
+
+void concurrency_limiter::set_slots(std::uint32_t slots)
+{
+    assert(slots >= 1);
+    this->announced_slots = slots;
+    this->computed_limit = std::min<double>(this->computed_limit, slots);
+}
+
+void concurrency_limiter::report_load(core::time_point now, double load)
+{
+    if (now < this->load_distrusted_until)
+    {
+        return;
+    }
+    // Written so that a NaN counts as no load.
+    if (load >= high_load)
+    {
+        this->load_factor = std::max(this->load_factor * load_step, min_load_factor);
+    }
+    else
+    {
+        this->load_factor = 1.0;
+        this->load_contradicted = core::duration::zero();
+    }
+}
+
+std::uint32_t concurrency_limiter::limit() const noexcept
+{
+    const double lowered = this->computed_limit * this->load_factor;
+    return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(lowered), 1, this->announced_slots);
+}
+
+bool concurrency_limiter::has_room() const noexcept
+{
+    return this->running < this->announced_slots && this->working() < this->limit();
+}
+
+bool concurrency_limiter::try_start()
+{
+    if (!this->has_room())
+    {
+        return false;
+    }
+    ++this->running;
+    this->window.peak_working = std::max(this->window.peak_working, this->working());
+    return true;
+}
+
+void concurrency_limiter::begin_nested_wait()
+{
+    assert(this->nested < this->running);
+    ++this->nested;
+}
+
+void concurrency_limiter::end_nested_wait()
+{
+    assert(this->nested > 0);
+    --this->nested;
+}
+
+void concurrency_limiter::finish(core::time_point now, core::duration own_latency, call_result result)
+{
+    assert(this->running > this->nested);
+    const std::uint32_t working_before = this->working();
+    if (this->window.begin == core::time_point{})
+    {
+        this->window.begin = now - std::max(own_latency, core::duration::zero());
+    }
+    if (working_before >= static_cast<std::uint32_t>(saturated_share * this->limit()))
+    {
+        this->window.reached_limit = true;
+    }
+    --this->running;
+    if (result == call_result::ignored)
+    {
+        return;
+    }
+    if (result == call_result::failure)
+    {
+        ++this->window.failures;
+    }
+    else
+    {
+        ++this->window.successes;
+        this->window.latency_sum += static_cast<double>(own_latency.count());
+        this->window.working_sum += working_before;
+        if (this->slow_start && this->window.reached_limit)
+        {
+            this->computed_limit = std::min<double>(this->computed_limit + 1.0, this->announced_slots);
+        }
+    }
+    const core::duration age = now - this->window.begin;
+    const bool enough = this->window.successes + this->window.failures >= this->options.window_calls;
+    if ((enough && age >= this->options.window) || age >= this->options.max_window)
+    {
+        this->close_window(now);
+    }
+}
+
+void concurrency_limiter::close_window(core::time_point now)
+{
+    const observation_window closed = this->window;
+    this->window = {};
+    this->window.begin = now;
+    this->window.peak_working = this->working();
+    const double calls = closed.successes + closed.failures;
+    if (closed.failures > failure_share * calls)
+    {
+        this->slow_start = false;
+        this->computed_limit =
+            std::max<double>(this->computed_limit * max_reduction, this->options.min_limit);
+        return;
+    }
+    if (closed.successes == 0)
+    {
+        return;
+    }
+    const double latency = closed.latency_sum / closed.successes;
+    const double working = closed.working_sum / closed.successes;
+    const auto mean = core::duration{static_cast<core::duration::rep>(latency)};
+    const bool idle = closed.peak_working * 2 <= this->limit();
+    if (this->low_water == core::duration::zero() || mean < this->low_water)
+    {
+        this->low_water = mean;
+    }
+    else if (idle)
+    {
+        // Without concurrency, latency has no queueing part, so the instance itself became slower.
+        this->low_water += core::duration{static_cast<core::duration::rep>(
+            idle_drift * static_cast<double>((mean - this->low_water).count()))};
+    }
+    const double threshold = this->options.tolerance * static_cast<double>(this->low_water.count());
+    const bool congested = latency > threshold && !idle;
+    this->check_load_hint(now, congested);
+    if (congested)
+    {
+        this->adapt(latency, working);
+        return;
+    }
+    this->reference_latency = 0.0;
+    if (closed.reached_limit && !this->slow_start)
+    {
+        this->computed_limit = std::min<double>(this->computed_limit * growth + 1.0, this->announced_slots);
+    }
+}
+
+void concurrency_limiter::adapt(double latency, double working)
+{
+    this->slow_start = false;
+    if (this->low_water_is_stale(latency, working))
+    {
+        this->low_water = core::duration{static_cast<core::duration::rep>(latency)};
+        this->computed_limit = std::max(this->computed_limit, this->reference_limit);
+        this->reference_latency = 0.0;
+        return;
+    }
+    if (this->reference_latency == 0.0)
+    {
+        this->reference_latency = latency;
+        this->reference_working = working;
+        this->reference_limit = this->computed_limit;
+    }
+    const double gradient = this->options.tolerance * static_cast<double>(this->low_water.count()) / latency;
+    this->computed_limit =
+        std::max<double>(this->computed_limit * std::max(gradient, max_reduction), this->options.min_limit);
+}
+
+bool concurrency_limiter::low_water_is_stale(double latency, double working)
+{
+    if (this->reference_latency == 0.0)
+    {
+        return false;
+    }
+    if (this->computed_limit <= this->options.min_limit)
+    {
+        // Nothing is left to reduce, so the latency cannot come from concurrency.
+        return true;
+    }
+    if (working > test_share * this->reference_working)
+    {
+        return false;
+    }
+    const double concurrency_fall = 1.0 - working / this->reference_working;
+    const double latency_fall = 1.0 - latency / this->reference_latency;
+    if (latency_fall < dependence * concurrency_fall)
+    {
+        return true;
+    }
+    // Latency fell with concurrency: go on from here, so that the test applies to the next step as well.
+    this->reference_latency = latency;
+    this->reference_working = working;
+    this->reference_limit = this->computed_limit;
+    return false;
+}
+
+void concurrency_limiter::check_load_hint(core::time_point now, bool congested)
+{
+    if (this->load_factor == 1.0)
+    {
+        return;
+    }
+    if (congested)
+    {
+        this->load_contradicted = core::duration::zero();
+        return;
+    }
+    this->load_contradicted += std::max(this->options.window, core::duration{1});
+    if (this->load_contradicted >= load_patience)
+    {
+        this->load_factor = 1.0;
+        this->load_contradicted = core::duration::zero();
+        this->load_distrusted_until = now + this->load_distrust;
+        this->load_distrust = std::min(this->load_distrust * 2, max_load_distrust);
+    }
+}
+
+} // namespace laburnumreach::overload
--- /dev/null
+++ b/packages/overload/src/exit_control.cpp
@@ -0,0 +1,112 @@
+#include "laburnumreach/overload/exit_control.hpp"
+
+namespace laburnumreach::overload
+{
+
+exit_control::exit_control(std::uint32_t slots, const exit_options& options)
+    : limit(slots, options.limiter), queue(options.queue), admission(options.admission)
+{
+}
+
+void exit_control::update(core::time_point now)
+{
+    this->admission.update(now, this->queue.size(), this->limit.has_room());
+}
+
+submit_result exit_control::submit(core::time_point now, queued_call call, core::time_point deadline)
+{
+    const core::duration service = this->expected[static_cast<std::size_t>(call.position.cls)].expected(now);
+    call.latest_start = deadline - service;
+    call.enqueued = now;
+    this->admission.record_arrival(call.position);
+    submit_result result;
+    if (call.latest_start < now)
+    {
+        result.why = core::reason::deadline_unmeetable;
+    }
+    else if (this->queue.empty() && this->limit.try_start())
+    {
+        this->admission.record_start();
+        result.what = submit_result::action::start;
+    }
+    else
+    {
+        const push_result pushed = this->queue.push(call);
+        result.evicted = pushed.evicted;
+        if (pushed.ticket)
+        {
+            result.what = submit_result::action::queued;
+            result.ticket = *pushed.ticket;
+        }
+        else
+        {
+            result.why = core::reason::queue_full;
+        }
+    }
+    this->update(now);
+    return result;
+}
+
+std::optional<queue_exit> exit_control::next(core::time_point now)
+{
+    if (const auto late = this->queue.expire(now))
+    {
+        this->update(now);
+        return queue_exit{*late, core::reason::deadline_unmeetable};
+    }
+    if (this->queue.empty() || !this->limit.try_start())
+    {
+        this->update(now);
+        return std::nullopt;
+    }
+    const auto call = this->queue.pop();
+    this->admission.record_start();
+    this->update(now);
+    return queue_exit{*call, core::reason::none};
+}
+
+bool exit_control::cancel(core::time_point now, queue_ticket ticket)
+{
+    const bool removed = this->queue.remove(ticket).has_value();
+    this->update(now);
+    return removed;
+}
+
+void exit_control::finish(core::time_point now, const run_observation& run)
+{
+    this->limit.finish(now, run.total_latency - run.nested_latency, run.result);
+    if (run.result == call_result::success)
+    {
+        this->expected[static_cast<std::size_t>(run.cls)].add(now, run.total_latency);
+    }
+    this->update(now);
+}
+
+void exit_control::begin_nested_wait(core::time_point now)
+{
+    this->limit.begin_nested_wait();
+    this->update(now);
+}
+
+void exit_control::end_nested_wait(core::time_point now)
+{
+    this->limit.end_nested_wait();
+    this->update(now);
+}
+
+void exit_control::announce(core::time_point now, std::uint32_t slots, double load)
+{
+    this->limit.set_slots(slots);
+    this->limit.report_load(now, load);
+    this->update(now);
+}
+
+load_feedback exit_control::feedback(core::time_point now, admission_level dependency_level)
+{
+    this->update(now);
+    return {.own_level = this->admission.level(),
+            .dependency_level = dependency_level,
+            .queue_delay = std::chrono::ceil<std::chrono::milliseconds>(this->admission.queue_delay())};
+}
+
+} // namespace laburnumreach::overload
--- /dev/null
+++ b/packages/overload/src/instance_selector.cpp
@@ -0,0 +1,258 @@
+#include "laburnumreach/overload/instance_selector.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace laburnumreach::overload
+{
+
+namespace
+{
+
+/// Weight of one observation in the smoothed latency.
+constexpr double latency_weight = 0.1;
+/// Range of the latency that counts in the choice, relative to the mean of all instances. It bounds how much
+/// traffic an instance that answers wrongly fast draws, and keeps a slow one observed.
+constexpr double min_relative_latency = 0.5;
+constexpr double max_relative_latency = 5.0;
+/// Latency that a broken call counts as, relative to the mean, so that failing fast does not draw traffic.
+constexpr double broken_latency = 3.0;
+
+} // namespace
+
+instance_selector::instance* instance_selector::find(instance_id id)
+{
+    const auto found = std::find_if(this->instances.begin(), this->instances.end(),
+                                    [&](const instance& candidate) { return candidate.info.id == id; });
+    return found == this->instances.end() ? nullptr : &*found;
+}
+
+const instance_selector::instance* instance_selector::find(instance_id id) const
+{
+    const auto found = std::find_if(this->instances.begin(), this->instances.end(),
+                                    [&](const instance& candidate) { return candidate.info.id == id; });
+    return found == this->instances.end() ? nullptr : &*found;
+}
+
+void instance_selector::set_instance(core::time_point now, const instance_info& info)
+{
+    assert(info.slots >= 1);
+    if (instance* known = this->find(info.id))
+    {
+        known->info = info;
+        return;
+    }
+    instance added;
+    added.info = info;
+    added.added = now;
+    added.warm = !this->started;
+    this->instances.push_back(added);
+}
+
+void instance_selector::remove_instance(instance_id id)
+{
+    std::erase_if(this->instances, [&](const instance& candidate) { return candidate.info.id == id; });
+}
+
+bool instance_selector::usable(core::time_point now, const instance& candidate) const
+{
+    if (candidate.info.draining || now < candidate.ejected_until)
+    {
+        return false;
+    }
+    // On probation after an ejection: one call at a time until one is answered.
+    return candidate.failures == 0 || candidate.in_flight == 0;
+}
+
+double instance_selector::effective_slots(core::time_point now, const instance& candidate) const
+{
+    const auto slots = static_cast<double>(candidate.info.slots);
+    const core::duration age = now - candidate.added;
+    if (candidate.warm || age >= this->options.warm_up)
+    {
+        return slots;
+    }
+    const double grown =
+        static_cast<double>(age.count()) / static_cast<double>(this->options.warm_up.count());
+    const double share = this->options.warm_up_start + (1.0 - this->options.warm_up_start) * grown;
+    return std::max(slots * share, 1.0);
+}
+
+bool instance_selector::saturated(core::time_point now, const instance& candidate) const
+{
+    return candidate.in_flight >= this->options.saturation * this->effective_slots(now, candidate);
+}
+
+double instance_selector::mean_latency() const
+{
+    double sum = 0.0;
+    std::size_t known = 0;
+    for (const instance& candidate : this->instances)
+    {
+        if (candidate.latency > 0.0)
+        {
+            sum += candidate.latency;
+            ++known;
+        }
+    }
+    return known == 0 ? 1.0 : sum / static_cast<double>(known);
+}
+
+double instance_selector::cost(core::time_point now, const instance& candidate, double mean) const
+{
+    const double own = candidate.latency > 0.0 ? candidate.latency : mean;
+    const double relative = std::clamp(own / mean, min_relative_latency, max_relative_latency);
+    return (candidate.in_flight + 1.0) / this->effective_slots(now, candidate) * relative;
+}
+
+std::optional<instance_id> instance_selector::pick(core::time_point now,
+                                                   std::optional<admission_position> position,
+                                                   std::optional<instance_id> exclude,
+                                                   core::random_source& random, core::reason& why)
+{
+    this->started = true;
+    const auto collect = [&](bool same_zone, bool allow_excluded)
+    {
+        for (std::size_t i = 0; i < this->instances.size(); ++i)
+        {
+            const instance& candidate = this->instances[i];
+            const bool shedding = position && !position->admitted_by(candidate.level.value(now));
+            const bool excluded = !allow_excluded && exclude == candidate.info.id;
+            if (candidate.info.same_zone == same_zone && !excluded && !shedding &&
+                this->usable(now, candidate) && !this->saturated(now, candidate))
+            {
+                this->candidates.push_back(i);
+            }
+        }
+    };
+    this->candidates.clear();
+    for (const bool allow_excluded : {false, true})
+    {
+        for (const bool same_zone : {true, false})
+        {
+            if (this->candidates.empty())
+            {
+                collect(same_zone, allow_excluded);
+            }
+        }
+    }
+    if (this->candidates.empty())
+    {
+        why = this->usable_count(now) > 0 ? core::reason::overloaded : core::reason::no_instance;
+        return std::nullopt;
+    }
+    std::size_t chosen = this->candidates[random.below(this->candidates.size())];
+    if (this->candidates.size() > 1)
+    {
+        std::size_t other = chosen;
+        while (other == chosen)
+        {
+            other = this->candidates[random.below(this->candidates.size())];
+        }
+        const double mean = this->mean_latency();
+        if (this->cost(now, this->instances[other], mean) < this->cost(now, this->instances[chosen], mean))
+        {
+            chosen = other;
+        }
+    }
+    ++this->instances[chosen].in_flight;
+    return this->instances[chosen].info.id;
+}
+
+void instance_selector::eject(core::time_point now, instance& failed, core::random_source& random)
+{
+    const std::uint32_t doublings = std::min(failed.failures, 16U);
+    const core::duration length =
+        std::min(this->options.first_ejection * (1U << doublings), this->options.max_ejection);
+    // Jitter keeps several daemons from probing a restarted instance at the same moment.
+    failed.ejected_until =
+        now + std::chrono::duration_cast<core::duration>(length * (0.75 + 0.5 * random.uniform()));
+    ++failed.failures;
+}
+
+void instance_selector::finish(core::time_point now, instance_id id, call_end end, core::duration latency,
+                               core::random_source& random)
+{
+    instance* called = this->find(id);
+    if (called == nullptr)
+    {
+        return;
+    }
+    assert(called->in_flight > 0);
+    --called->in_flight;
+    double observed = static_cast<double>(latency.count());
+    switch (end)
+    {
+    case call_end::answered:
+        called->failures = 0;
+        break;
+    case call_end::broken:
+        observed = std::max(observed, broken_latency * this->mean_latency());
+        break;
+    case call_end::connect_failed:
+        // Calls that failed together with the first one do not extend the ejection.
+        if (now >= called->ejected_until)
+        {
+            this->eject(now, *called, random);
+        }
+        return;
+    case call_end::refused:
+        called->failures = 0;
+        return;
+    case call_end::cancelled:
+        return;
+    }
+    called->latency =
+        called->latency == 0.0 ? observed : called->latency + latency_weight * (observed - called->latency);
+}
+
+void instance_selector::record(core::time_point now, instance_id id, const load_feedback& feedback)
+{
+    if (instance* answered = this->find(id))
+    {
+        answered->level.set(now, feedback.own_level);
+        answered->queue_end = now + feedback.queue_delay;
+    }
+}
+
+admission_level instance_selector::level(core::time_point now) const
+{
+    std::optional<admission_level> lowest;
+    for (const instance& candidate : this->instances)
+    {
+        if (this->usable(now, candidate))
+        {
+            const admission_level own = candidate.level.value(now);
+            lowest = lowest ? std::min(*lowest, own) : own;
+        }
+    }
+    return lowest.value_or(0);
+}
+
+core::duration instance_selector::queue_delay(core::time_point now) const
+{
+    core::time_point earliest = core::time_point::max();
+    for (const instance& candidate : this->instances)
+    {
+        if (this->usable(now, candidate))
+        {
+            earliest = std::min(earliest, candidate.queue_end);
+        }
+    }
+    return earliest == core::time_point::max() || earliest <= now ? core::duration::zero() : earliest - now;
+}
+
+std::uint32_t instance_selector::in_flight(instance_id id) const
+{
+    const instance* found = this->find(id);
+    return found == nullptr ? 0 : found->in_flight;
+}
+
+std::size_t instance_selector::usable_count(core::time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(this->instances.begin(), this->instances.end(),
+                                                  [&](const instance& candidate)
+                                                  { return this->usable(now, candidate); }));
+}
+
+} // namespace laburnumreach::overload
--- /dev/null
+++ b/packages/overload/src/retry_policy.cpp
@@ -0,0 +1,75 @@
+#include "laburnumreach/overload/retry_policy.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace laburnumreach::overload
+{
+
+namespace
+{
+
+/// Returns whether another instance may accept what one instance failed or refused.
+bool another_instance_may_help(core::reason why)
+{
+    switch (why)
+    {
+    case core::reason::connect_failed:
+    case core::reason::connection_lost:
+    case core::reason::answer_incomplete:
+    case core::reason::upstream_silent:
+    case core::reason::draining:
+    case core::reason::queue_full:
+        return true;
+    default:
+        // Refusals by level hold for the service, and the others for the request; a retry only adds load.
+        return false;
+    }
+}
+
+core::duration jittered(core::duration mean, core::random_source& random)
+{
+    return std::chrono::duration_cast<core::duration>(mean * (0.5 + random.uniform()));
+}
+
+} // namespace
+
+retry_decision retry_policy::decide(core::time_point now, const failed_attempt& failed,
+                                    attempt_counter& attempts, retry_budget& budget,
+                                    core::random_source& random) const
+{
+    assert(failed.tries >= 1);
+    const bool safe = failed.result.result == core::outcome::not_run || failed.idempotent;
+    if (!failed.seen_here || !safe || !another_instance_may_help(failed.result.why))
+    {
+        return {};
+    }
+    if (attempts.remaining() == 0)
+    {
+        return {.why_not = core::reason::attempts_exhausted};
+    }
+    const std::uint32_t doublings = std::min(failed.tries - 1, 16U);
+    const core::duration backoff =
+        jittered(std::min(this->options.base_backoff * (1U << doublings), this->options.max_backoff), random);
+    if (backoff >= failed.remaining)
+    {
+        return {};
+    }
+    if (!budget.try_take(now))
+    {
+        return {.why_not = core::reason::retry_budget_exhausted};
+    }
+    attempts.use();
+    return {.retry = true, .backoff = backoff};
+}
+
+std::chrono::milliseconds retry_policy::advice(admission_level level, core::random_source& random) const
+{
+    const double share = static_cast<double>(level) / position_count;
+    const auto mean =
+        this->options.min_advice + std::chrono::duration_cast<std::chrono::milliseconds>(
+                                       share * (this->options.max_advice - this->options.min_advice));
+    return std::chrono::duration_cast<std::chrono::milliseconds>(jittered(mean, random));
+}
+
+} // namespace laburnumreach::overload
--- /dev/null
+++ b/packages/overload/src/tenant_shares.cpp
@@ -0,0 +1,60 @@
+#include "laburnumreach/overload/tenant_shares.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace laburnumreach::overload
+{
+
+namespace
+{
+
+/// Interval at which the highest rate is searched again and silent tenants are forgotten.
+constexpr core::duration scan_interval = std::chrono::milliseconds{50};
+/// Spreads the low buckets, so that a tenant at many times its share does not squeeze all others into one.
+constexpr double curvature = 31.0;
+/// A tenant with a smaller decayed count has been silent for several time constants.
+constexpr double silent_count = 0.01;
+
+double decay(core::duration age)
+{
+    return std::exp(-std::chrono::duration<double>(age) /
+                    std::chrono::duration<double>(tenant_shares::time_constant));
+}
+
+} // namespace
+
+void tenant_shares::rescan(core::time_point now, class_state& state)
+{
+    state.scanned = now;
+    state.highest = 0.0;
+    std::erase_if(state.tenants, [&](const auto& entry)
+                  { return entry.second.count * decay(now - entry.second.updated) < silent_count; });
+    for (const auto& [tenant, rate] : state.tenants)
+    {
+        state.highest = std::max(state.highest, rate.count * decay(now - rate.updated) / rate.weight);
+    }
+}
+
+admission_position tenant_shares::assign(core::time_point now, core::priority_class cls, tenant_id tenant,
+                                         double weight, core::random_source& random)
+{
+    assert(weight > 0.0);
+    class_state& state = this->classes[static_cast<std::size_t>(cls)];
+    if (now - state.scanned >= scan_interval)
+    {
+        this->rescan(now, state);
+    }
+    offered& rate = state.tenants[tenant];
+    rate.count = rate.count * decay(now - rate.updated) + 1.0;
+    rate.weight = weight;
+    rate.updated = now;
+    const double per_weight = rate.count / weight;
+    state.highest = std::max(state.highest, per_weight);
+    const double place = random.uniform() * per_weight / state.highest;
+    const double bucket = std::log1p(curvature * place) / std::log1p(curvature) * bucket_count;
+    return {.cls = cls, .bucket = static_cast<std::uint8_t>(std::min(bucket, bucket_count - 1.0))};
+}
+
+} // namespace laburnumreach::overload
