--- /dev/null
+++ b/packages/daemon/src/zone_keeper.cpp
@@ -0,0 +1,472 @@
+#include "laburnumreach/daemon/zone_keeper.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+#include <map>
+
+namespace laburnumreach::daemon
+{
+
+namespace
+{
+
+/// A candidate that promised within this time is named as the successor.
+constexpr core::duration recent_promise = std::chrono::seconds{1};
+constexpr core::duration handover_interval = std::chrono::milliseconds{100};
+
+quota::authority_terms make_terms(const zone_keeper_options& options)
+{
+    quota::authority_terms terms;
+    terms.orphan_limit = options.orphan_limit;
+    return terms;
+}
+
+platform::zone_lease_options make_lease_options(const zone_keeper_options& options)
+{
+    platform::zone_lease_options lease;
+    lease.zone = options.zone;
+    lease.daemon_id = process_name(options.self);
+    lease.incarnation = options.self.incarnation;
+    lease.successor_priority = options.orphan_limit;
+    return lease;
+}
+
+std::vector<std::uint64_t> numbers_of(const std::vector<platform::listed_revision>& listed)
+{
+    std::vector<std::uint64_t> numbers;
+    numbers.reserve(listed.size());
+    for (const platform::listed_revision& entry : listed)
+    {
+        numbers.push_back(entry.revision);
+    }
+    return numbers;
+}
+
+} // namespace
+
+std::string process_name(const quota::daemon_ref& process)
+{
+    return process.id + '#' + std::to_string(process.incarnation);
+}
+
+std::optional<quota::daemon_ref> parse_process_name(std::string_view name)
+{
+    const std::size_t mark = name.rfind('#');
+    if (mark == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    quota::daemon_ref process{.id = std::string{name.substr(0, mark)}};
+    const std::string_view number = name.substr(mark + 1);
+    const auto parsed = std::from_chars(number.data(), number.data() + number.size(), process.incarnation);
+    if (parsed.ec != std::errc{} || parsed.ptr != number.data() + number.size())
+    {
+        return std::nullopt;
+    }
+    return process;
+}
+
+zone_keeper::zone_keeper(const zone_keeper_options& keeper, core::random_source source)
+    : options(keeper), terms(make_terms(keeper)), random(source), lease(make_lease_options(keeper)),
+      promise(keeper.zone, keeper.self, this->terms)
+{
+}
+
+void zone_keeper::set_candidate(bool value)
+{
+    if (this->candidate != value && !this->stopping)
+    {
+        this->candidate = value;
+        this->lease.set_candidate(value);
+    }
+}
+
+bool zone_keeper::is_successor() const
+{
+    const std::optional<platform::zone_record>& record = this->lease.record();
+    return record && record->successor == process_name(this->options.self);
+}
+
+void zone_keeper::set_zone_members(std::vector<quota::daemon_ref> live, std::vector<std::string> control_addresses)
+{
+    this->members = std::move(live);
+    this->lease.set_members(std::move(control_addresses));
+}
+
+void zone_keeper::configure(core::time_point now, std::shared_ptr<const quota::quota_revision> quotas)
+{
+    this->revision = std::move(quotas);
+    if (this->lender)
+    {
+        this->lender->configure(this->revision, now);
+    }
+}
+
+zone_keeper::outbox zone_keeper::poll(core::time_point now)
+{
+    outbox out;
+    if (this->authority && !this->stopping)
+    {
+        this->name_successor(now);
+        for (const quota::promise_request& request : this->authority->poll(now))
+        {
+            out.push_back({.receiver = request.to, .lender_zone = {}, .message = request});
+        }
+    }
+    if (this->lender)
+    {
+        this->lender->set_authority(this->authority_until());
+        this->collect(this->lender->poll(now), out);
+        this->lease.set_revisions(this->listed_revisions());
+    }
+    if (this->sent_handover && now >= this->next_handover_at)
+    {
+        this->next_handover_at = now + handover_interval;
+        out.push_back(this->handover_message());
+    }
+    return out;
+}
+
+std::optional<platform::zone_call> zone_keeper::next_platform_call(core::time_point now)
+{
+    const std::optional<platform::zone_call> call = this->lease.poll(now, this->random);
+    if (!call || call->type == platform::zone_call::kind::read)
+    {
+        return call;
+    }
+    const core::result<platform::zone_record> record = platform::decode_zone_record(call->value);
+    assert(record);
+    const bool takeover = !this->authority && !record->holder.empty();
+    if (takeover && (this->stopping || !this->promise.begin_takeover(this->version_seen_at, now)))
+    {
+        // A promise to the present lender holds, so the write must not be sent.
+        this->lease.on_write(now, core::make_error(core::error_code::unavailable, "a promise forbids the takeover"),
+                             this->random);
+        return std::nullopt;
+    }
+    this->begin_write(now, *call, *record, takeover);
+    return call;
+}
+
+void zone_keeper::begin_write(core::time_point now, const platform::zone_call& call, platform::zone_record record,
+                              bool takeover)
+{
+    if (takeover)
+    {
+        this->authority.emplace(this->options.zone, this->options.self,
+                                quota::lender_epoch{.record = record.epoch, .handover = 0}, this->terms);
+    }
+    const std::uint64_t number = this->next_write++;
+    if (this->authority && !record.holder.empty())
+    {
+        this->authority->write_sent(number, parse_process_name(record.successor), now);
+    }
+    this->writes.push_back({.number = number,
+                            .operation_id = std::move(record.operation_id),
+                            .replaced = call.condition.value_or(0),
+                            .epoch = record.epoch,
+                            .revisions = numbers_of(record.revisions),
+                            .takeover = takeover});
+}
+
+void zone_keeper::on_read(core::time_point now, const core::result<platform::object>& result)
+{
+    this->lease.on_read(now, result, this->random);
+    this->settle_writes(now, false);
+}
+
+void zone_keeper::on_write(core::time_point now, const core::result<platform::object_version>& result)
+{
+    this->lease.on_write(now, result, this->random);
+    const bool certainly_failed = !result && result.error().code != core::error_code::unknown_fate &&
+                                  result.error().code != core::error_code::conflict;
+    this->settle_writes(now, certainly_failed);
+}
+
+void zone_keeper::settle_writes(core::time_point now, bool certainly_failed)
+{
+    if (this->lease.version() != this->seen_version)
+    {
+        this->seen_version = this->lease.version();
+        this->version_seen_at = now;
+    }
+    const std::optional<platform::zone_record>& record = this->lease.record();
+    const auto is_in_force = [&](const sent_write& write)
+    { return record && record->operation_id == write.operation_id; };
+    std::vector<sent_write> open;
+    for (const sent_write& write : std::exchange(this->writes, {}))
+    {
+        const bool newest = write.number + 1 == this->next_write;
+        if (is_in_force(write))
+        {
+            this->confirm(now, write);
+        }
+        else if ((certainly_failed && newest) || this->seen_version > write.replaced)
+        {
+            // Another version replaced the one that the write expects, so the write can never take effect.
+            this->reject(write);
+        }
+        else
+        {
+            open.push_back(write);
+        }
+    }
+    this->writes = std::move(open);
+    this->check_role_lost();
+}
+
+void zone_keeper::confirm(core::time_point now, const sent_write& write)
+{
+    if (!this->authority)
+    {
+        return;
+    }
+    this->authority->write_confirmed(write.number);
+    this->inherited = false;
+    if (write.takeover)
+    {
+        this->take_over(now, write.epoch);
+    }
+    if (this->lender && !write.revisions.empty())
+    {
+        this->lender->recorded(write.revisions.back());
+    }
+}
+
+void zone_keeper::reject(const sent_write& write)
+{
+    if (this->authority)
+    {
+        this->authority->write_rejected(write.number);
+    }
+    if (write.takeover && this->promise.current_role() == quota::successor_promise::role::attempting)
+    {
+        this->promise.takeover_failed();
+        this->authority.reset();
+    }
+}
+
+void zone_keeper::take_over(core::time_point now, std::uint64_t epoch)
+{
+    const quota::lender_epoch own{.record = epoch, .handover = 0};
+    this->promise.takeover_won(own);
+    quota::lender_options settings;
+    settings.epoch = own;
+    // The first version of a record proves that the zone never had a lender, so there are no loans to wait for.
+    settings.start_full = this->seen_version == 1;
+    settings.start_after = settings.start_full ? now : now + quota::takeover_wait(this->options.lending);
+    this->start_lender(now, settings, nullptr);
+}
+
+void zone_keeper::start_lender(core::time_point now, quota::lender_options settings, const quota::handover* from)
+{
+    settings.zone = this->options.zone;
+    settings.self = this->options.self;
+    settings.terms = this->options.lending;
+    this->lender = from == nullptr ? std::make_unique<quota::lender>(settings, now)
+                                   : std::make_unique<quota::lender>(settings, *from, now);
+    // The revisions that the record listed before this daemon's first write are those of the lender before it.
+    for (const platform::listed_revision& listed : this->lease.listed_by_others())
+    {
+        this->lender->adopt_unknown(listed.revision, listed.zones);
+    }
+    if (this->revision)
+    {
+        this->lender->configure(this->revision, now);
+    }
+    this->lease.set_revisions(this->listed_revisions());
+}
+
+std::vector<platform::listed_revision> zone_keeper::listed_revisions() const
+{
+    std::vector<platform::listed_revision> listed;
+    for (const std::uint64_t number : this->lender->revisions_in_use())
+    {
+        const bool newest = this->revision && this->revision->revision == number;
+        listed.push_back({.revision = number,
+                          .zones = newest ? this->revision->zones : this->lender->zones_of(number)});
+    }
+    return listed;
+}
+
+void zone_keeper::check_role_lost()
+{
+    const std::optional<platform::zone_record>& record = this->lease.record();
+    const bool other_holds = record && record->holder != process_name(this->options.self);
+    const bool holding = this->promise.current_role() == quota::successor_promise::role::holding;
+    if (!other_holds || !holding || this->inherited || !this->writes.empty() || !this->authority)
+    {
+        return;
+    }
+    this->authority->lost();
+    this->authority.reset();
+    this->lender.reset();
+    this->promise.resign();
+}
+
+void zone_keeper::name_successor(core::time_point now)
+{
+    const bool still_live = this->candidate_successor &&
+                            std::find(this->members.begin(), this->members.end(), *this->candidate_successor) !=
+                                this->members.end();
+    if (!still_live)
+    {
+        this->candidate_successor =
+            this->members.empty() ? std::nullopt : std::optional{this->members.front()};
+        this->candidate_promised_at = core::time_point{};
+        this->authority->set_candidate(this->candidate_successor);
+    }
+    const bool promised = this->candidate_successor && this->candidate_promised_at != core::time_point{} &&
+                          now - this->candidate_promised_at < recent_promise;
+    this->lease.set_successor(promised ? process_name(*this->candidate_successor) : std::string{});
+}
+
+zone_keeper::outbox zone_keeper::receive(core::time_point now, const protocol::quota_message& message)
+{
+    outbox out;
+    if (const auto* request = std::get_if<quota::loan_request>(&message))
+    {
+        if (this->lender)
+        {
+            this->lender->set_authority(this->authority_until());
+            this->collect(this->lender->receive(*request, now), out);
+        }
+    }
+    else if (const auto* grant = std::get_if<quota::loan_grant>(&message))
+    {
+        if (this->lender)
+        {
+            this->lender->set_authority(this->authority_until());
+            this->collect(this->lender->receive(*grant, now), out);
+        }
+    }
+    else if (const auto* asked = std::get_if<quota::promise_request>(&message))
+    {
+        if (const auto answer = this->promise.receive(*asked, now))
+        {
+            out.push_back({.receiver = answer->to, .lender_zone = {}, .message = *answer});
+        }
+    }
+    else if (const auto* answer = std::get_if<quota::promise_answer>(&message))
+    {
+        this->receive_promise(now, *answer);
+    }
+    else if (const auto* handed = std::get_if<quota::handover>(&message))
+    {
+        this->receive_handover(now, *handed, out);
+    }
+    else if (const auto* receipt = std::get_if<protocol::handover_receipt>(&message))
+    {
+        if (this->sent_handover && receipt->epoch == this->sent_handover->epoch)
+        {
+            this->sent_handover.reset();
+        }
+    }
+    return out;
+}
+
+void zone_keeper::receive_promise(core::time_point now, const quota::promise_answer& answer)
+{
+    if (!this->authority)
+    {
+        return;
+    }
+    this->authority->receive(answer, now);
+    if (this->candidate_successor && answer.from == *this->candidate_successor)
+    {
+        this->candidate_promised_at = now;
+    }
+}
+
+void zone_keeper::receive_handover(core::time_point now, const quota::handover& message, outbox& out)
+{
+    const protocol::handover_receipt receipt{.zone = message.zone, .epoch = message.epoch};
+    if (const auto accepted = this->promise.accept(message))
+    {
+        this->authority.emplace(quota::lender_authority::from_handover(
+            this->options.zone, this->options.self, accepted->epoch, this->terms, accepted->until));
+        quota::lender_options settings;
+        settings.epoch = accepted->epoch;
+        settings.start_after = now;
+        this->inherited = true;
+        this->accepted_epoch = message.epoch;
+        this->start_lender(now, settings, &message);
+    }
+    if (this->accepted_epoch == message.epoch)
+    {
+        out.push_back({.receiver = message.from, .lender_zone = {}, .message = receipt});
+    }
+}
+
+zone_keeper::outbox zone_keeper::stop(core::time_point now)
+{
+    outbox out;
+    if (this->stopping)
+    {
+        return out;
+    }
+    this->stopping = true;
+    this->lease.set_candidate(false);
+    const auto target = this->authority ? this->authority->handover_target() : std::nullopt;
+    if (this->lender && target)
+    {
+        this->sent_handover = this->lender->stop(*target, now);
+    }
+    if (this->sent_handover)
+    {
+        this->authority->describe(*this->sent_handover);
+        this->next_handover_at = now + handover_interval;
+        out.push_back(this->handover_message());
+    }
+    else if (this->lender)
+    {
+        this->lease.release();
+    }
+    else if (const auto answer = this->promise.release())
+    {
+        out.push_back({.receiver = answer->to, .lender_zone = {}, .message = *answer});
+    }
+    if (this->authority)
+    {
+        this->authority->end();
+    }
+    this->lender.reset();
+    return out;
+}
+
+bool zone_keeper::stopped() const
+{
+    return this->stopping && !this->sent_handover && !this->lease.releasing();
+}
+
+std::uint64_t zone_keeper::lender_epoch(core::time_point now) const
+{
+    return this->lender && this->lender->has_authority(now) && this->lease.record() ? this->lease.record()->epoch : 0;
+}
+
+core::time_point zone_keeper::authority_until() const
+{
+    return this->authority ? this->authority->valid_until() : core::time_point::min();
+}
+
+void zone_keeper::collect(quota::lender::output messages, outbox& out) const
+{
+    for (quota::loan_grant& grant : messages.grants)
+    {
+        const quota::daemon_ref receiver = grant.receiver;
+        out.push_back({.receiver = receiver, .lender_zone = {}, .message = std::move(grant)});
+    }
+    for (quota::loan_request& request : messages.requests)
+    {
+        const std::string zone = request.lender_zone;
+        out.push_back({.receiver = {}, .lender_zone = zone, .message = std::move(request)});
+    }
+}
+
+outgoing_quota_message zone_keeper::handover_message() const
+{
+    return {.receiver = this->sent_handover->to, .lender_zone = {}, .message = *this->sent_handover};
+}
+
+} // namespace laburnumreach::daemon
--- a/packages/protocol/include/laburnumreach/protocol/message_codec.hpp
+++ b/packages/protocol/include/laburnumreach/protocol/message_codec.hpp
@@ -1,6 +1,7 @@
 #ifndef LABURNUMREACH_PROTOCOL_MESSAGE_CODEC_HPP
 #define LABURNUMREACH_PROTOCOL_MESSAGE_CODEC_HPP
 
+#include <chrono>
 #include <cstdint>
 #include <msgpack.hpp>
 #include <optional>
