--- a/cmake/laburnumreach_package.cmake
+++ b/cmake/laburnumreach_package.cmake
@@ -1,5 +1,9 @@
 # Option structs are built with designated initialisers that leave members at their defaults.
-set(laburnumreach_warnings -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers)
+set(laburnumreach_warnings
+    -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers
+    # Boost.Accumulators triggers a false positive of this warning when it is inlined.
+    -Wno-maybe-uninitialized
+)
 
 # Defines the library laburnumreach::<name> of one package.
 #
@@ -12,7 +16,7 @@
   set(scope PUBLIC)
   if(sources)
     add_library(laburnumreach_${name} STATIC ${sources})
-    target_compile_options(laburnumreach_${name} PRIVATE ${laburnumreach_warnings} -Wshadow)
+    target_compile_options(laburnumreach_${name} PRIVATE ${laburnumreach_warnings} -Wshadow=local)
   else()
     add_library(laburnumreach_${name} INTERFACE)
     set(scope INTERFACE)
--- a/packages/daemon/include/laburnumreach/daemon/call_context.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/call_context.hpp
@@ -16,8 +16,8 @@
 namespace laburnumreach::daemon
 {
 
-/// What travels with a call through this daemon. Shared between the thread that serves the call and the threads that
-/// serve its nested calls.
+/// What travels with a call through this daemon. Shared between the thread that serves the call and the
+/// threads that serve its nested calls.
 struct call_context
 {
     std::string request_id; ///< Of the request from outside; the same over the whole chain.
--- a/packages/daemon/include/laburnumreach/daemon/call_forwarder.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/call_forwarder.hpp
@@ -27,8 +27,8 @@
 class call_forwarder
 {
 public:
-    call_forwarder(const call_forwarder_options& options, destination_table& destinations, upstream_gateway& gateway,
-                   http::client_pool& pool, exchange_watch& watch,
+    call_forwarder(const call_forwarder_options& options, destination_table& destinations,
+                   upstream_gateway& gateway, http::client_pool& pool, exchange_watch& watch,
                    const protocol::message_authenticator& authenticator, core::reason_counters& retries);
 
     /// Forwards a call and waits for its end.
@@ -51,7 +51,8 @@
     void record(called_service& service, const forwarded_request& request, const attempt& chosen,
                 const call_outcome& outcome, core::duration latency);
     core::verdict advise(core::verdict verdict, called_service& service, const forwarded_request& request);
-    bool wait_before_retry(const call_context& call, const forwarded_request& request, core::duration backoff) const;
+    bool wait_before_retry(const call_context& call, const forwarded_request& request,
+                           core::duration backoff) const;
 
     call_forwarder_options options;
     destination_table& destinations;
--- a/packages/daemon/include/laburnumreach/daemon/call_registry.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/call_registry.hpp
@@ -31,7 +31,8 @@
     std::size_t size() const;
 
 private:
-    // One short lock for each call; the map cannot be per thread because nested calls arrive on other threads.
+    // One short lock for each call; the map cannot be per thread because nested calls arrive on other
+    // threads.
     mutable std::mutex mutex;
     std::unordered_map<std::string, std::shared_ptr<call_context>> calls;
 };
--- a/packages/daemon/include/laburnumreach/daemon/claim_gate.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/claim_gate.hpp
@@ -32,7 +32,8 @@
 
     /// Asks for a claim and waits for the decision.
     /// @param caller_gone ends the wait early when it returns true
-    idempotency::claim_decision acquire(const idempotency::claim_key& key, const std::function<bool()>& caller_gone);
+    idempotency::claim_decision acquire(const idempotency::claim_key& key,
+                                        const std::function<bool()>& caller_gone);
 
     /// Reports that a granted request ran or may have run, with its answer if there is a whole one.
     void finish(const idempotency::claim_key& key, std::uint64_t sequence,
--- a/packages/daemon/include/laburnumreach/daemon/config_watcher.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/config_watcher.hpp
@@ -4,6 +4,7 @@
 #include "laburnumreach/config/config_document.hpp"
 #include "laburnumreach/core/posix_thread.hpp"
 #include "laburnumreach/core/random_source.hpp"
+#include "laburnumreach/core/time.hpp"
 #include "laburnumreach/platform/config_repository.hpp"
 #include "laburnumreach/platform/http_object_store.hpp"
 
@@ -36,7 +37,8 @@
         std::function<void()> on_platform_reached;
     };
 
-    config_watcher(const platform::http_object_store_options& options, std::uint64_t seed, listener callbacks);
+    config_watcher(const platform::http_object_store_options& options, std::uint64_t seed,
+                   listener callbacks);
     config_watcher(const config_watcher&) = delete;
     config_watcher& operator=(const config_watcher&) = delete;
     ~config_watcher();
--- a/packages/daemon/include/laburnumreach/daemon/control_loop.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/control_loop.hpp
@@ -33,7 +33,8 @@
     /// Starts the thread.
     void start();
 
-    /// Tells the other daemons to send no more work here and hands the quota roles over. Called from any thread.
+    /// Tells the other daemons to send no more work here and hands the quota roles over. Called from any
+    /// thread.
     void begin_leave();
 
     /// Announces the leave; the last step before stop. Called from any thread.
--- a/packages/daemon/include/laburnumreach/daemon/daemon.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/daemon.hpp
@@ -28,8 +28,8 @@
     daemon& operator=(const daemon&) = delete;
     ~daemon();
 
-    /// Ends without cutting a request: peers stop sending first, running requests finish, roles are handed over.
-    /// Takes at most the shutdown timeout of the settings.
+    /// Ends without cutting a request: peers stop sending first, running requests finish, roles are handed
+    /// over. Takes at most the shutdown timeout of the settings.
     /// @returns whether all requests ended in time
     bool shut_down();
 
--- a/packages/daemon/include/laburnumreach/daemon/daemon_metrics.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/daemon_metrics.hpp
@@ -15,8 +15,9 @@
 /// Counters of the request path. Thread safe.
 struct daemon_metrics
 {
-    core::reason_counters refusals; ///< Requests that ended without a whole answer, by reason, as the entry saw them.
-    core::reason_counters exit_refusals; ///< The same for calls of other daemons.
+    core::reason_counters
+        refusals; ///< Requests that ended without a whole answer, by reason, as the entry saw them.
+    core::reason_counters exit_refusals;   ///< The same for calls of other daemons.
     core::reason_counters nested_refusals; ///< The same for calls of the upstream beside this daemon.
     core::reason_counters retries;         ///< Further attempts, by the reason of the failure before.
     std::atomic<std::uint64_t> requests{0};
--- a/packages/daemon/include/laburnumreach/daemon/daemon_state.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/daemon_state.hpp
@@ -38,7 +38,8 @@
     config::daemon_settings settings;
     std::uint64_t incarnation; ///< Random number of this start of the process.
     event_queue events;
-    /// Says whether a process is running. Set by the control loop before traffic starts, called on its thread.
+    /// Says whether a process is running. Set by the control loop before traffic starts, called on its
+    /// thread.
     std::function<bool(const idempotency::process_id&)> process_is_running;
     protocol::message_authenticator authenticator;
     name_registry names;
--- a/packages/daemon/include/laburnumreach/daemon/destination_table.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/destination_table.hpp
@@ -52,8 +52,10 @@
 public:
     explicit destination_table(const destination_table_options& options);
 
-    /// Takes over the members that changed since the last call, and the drained instances of the configuration.
-    void update(core::time_point now, const membership::member_table& members, const config::fleet_index* index);
+    /// Takes over the members that changed since the last call, and the drained instances of the
+    /// configuration.
+    void update(core::time_point now, const membership::member_table& members,
+                const config::fleet_index* index);
 
     /// Returns a service, or null when no member ever offered it.
     std::shared_ptr<called_service> find(std::string_view service) const;
--- a/packages/daemon/include/laburnumreach/daemon/entry_handler.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/entry_handler.hpp
@@ -12,7 +12,8 @@
 namespace laburnumreach::daemon
 {
 
-/// Serves requests of callers: identifies the tenant, charges its quota, and forwards the request. Thread safe.
+/// Serves requests of callers: identifies the tenant, charges its quota, and forwards the request. Thread
+/// safe.
 class entry_handler
 {
 public:
@@ -29,7 +30,8 @@
     core::verdict read_body(http::incoming_request& request, admitted_request& admitted);
     call_outcome run(http::incoming_request& request, admitted_request& admitted);
     void assign_position(admitted_request& admitted);
-    void answer_refusal(const admitted_request& admitted, const core::verdict& verdict, http::response& answer);
+    void answer_refusal(const admitted_request& admitted, const core::verdict& verdict,
+                        http::response& answer);
 
     daemon_state& state;
     once_runner once;
--- a/packages/daemon/include/laburnumreach/daemon/exchange_watch.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/exchange_watch.hpp
@@ -27,9 +27,9 @@
 
 /// Finds exchanges whose connection went silent while others to the same destination are answered.
 ///
-/// A slow destination must not be taken for a silent connection, because giving up wastes the work and makes the
-/// outcome of a non-idempotent request unknown. So an exchange counts as silent only when later ones of its kind
-/// were answered meanwhile. Thread safe.
+/// A slow destination must not be taken for a silent connection, because giving up wastes the work and makes
+/// the outcome of a non-idempotent request unknown. So an exchange counts as silent only when later ones of
+/// its kind were answered meanwhile. Thread safe.
 class exchange_watch
 {
 public:
@@ -40,7 +40,8 @@
     {
     public:
         /// @param kind destination and route, whose exchanges are compared
-        observation(exchange_watch& owner, std::string kind, http::cancellation& control, core::time_point now);
+        observation(exchange_watch& owner, std::string kind, http::cancellation& control,
+                    core::time_point now);
         observation(const observation&) = delete;
         observation& operator=(const observation&) = delete;
         ~observation();
--- a/packages/daemon/include/laburnumreach/daemon/log.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/log.hpp
@@ -20,7 +20,8 @@
 /// Sends log lines to standard error from the given severity on. Call it once at start.
 void configure_log(config::log_level level);
 
-/// Writes "event=<event> name=value ..." at a severity. Values with spaces, quotes or control characters are quoted.
+/// Writes "event=<event> name=value ..." at a severity. Values with spaces, quotes or control characters are
+/// quoted.
 void log_line(config::log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
 /// Returns a value as it appears in a log line.
--- a/packages/daemon/include/laburnumreach/daemon/name_registry.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/name_registry.hpp
@@ -10,7 +10,8 @@
 namespace laburnumreach::daemon
 {
 
-/// Gives each name a number that stays the same while the daemon runs, also across configurations. Thread safe.
+/// Gives each name a number that stays the same while the daemon runs, also across configurations. Thread
+/// safe.
 class name_registry
 {
 public:
--- a/packages/daemon/include/laburnumreach/daemon/observed_calls.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/observed_calls.hpp
@@ -14,13 +14,14 @@
 namespace laburnumreach::daemon
 {
 
-/// Which services, and with which dependencies, the routes of the upstream call. Learnt from its nested calls, so
-/// that a route reports only the overload of dependencies that it really uses. Thread safe.
+/// Which services, and with which dependencies, the routes of the upstream call. Learnt from its nested
+/// calls, so that a route reports only the overload of dependencies that it really uses. Thread safe.
 class observed_calls
 {
 public:
     /// Records a nested call.
-    void add(std::string_view route, std::string_view called_service, overload::dependency_set_id dependencies);
+    void add(std::string_view route, std::string_view called_service,
+             overload::dependency_set_id dependencies);
 
     /// Returns the highest admission level among the dependencies of a route.
     overload::admission_level dependency_level(core::time_point now, std::string_view route,
--- a/packages/daemon/include/laburnumreach/daemon/once_runner.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/once_runner.hpp
@@ -31,7 +31,8 @@
     daemon_state& state;
 };
 
-/// Path below the listener for other daemons where recorded answers are read; the claim key in hex digits follows.
+/// Path below the listener for other daemons where recorded answers are read; the claim key in hex digits
+/// follows.
 inline constexpr std::string_view recorded_answer_path = "/laburnum/recorded-answer/";
 
 /// Returns the hex digits of a claim key.
--- a/packages/daemon/include/laburnumreach/daemon/platform_worker.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/platform_worker.hpp
@@ -13,7 +13,8 @@
 namespace laburnumreach::daemon
 {
 
-/// A thread that makes platform calls one after another, so that the control thread never waits for the platform.
+/// A thread that makes platform calls one after another, so that the control thread never waits for the
+/// platform.
 class platform_worker
 {
 public:
--- a/packages/daemon/include/laburnumreach/daemon/random_id.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/random_id.hpp
@@ -7,7 +7,8 @@
 namespace laburnumreach::daemon
 {
 
-/// Returns 128 bits from the cryptographic generator in hex digits, so that ids and handles cannot be guessed.
+/// Returns 128 bits from the cryptographic generator in hex digits, so that ids and handles cannot be
+/// guessed.
 std::string make_random_id();
 
 /// Returns 64 bits from the cryptographic generator.
--- a/packages/daemon/include/laburnumreach/daemon/upstream_gateway.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/upstream_gateway.hpp
@@ -43,22 +43,24 @@
     friend bool operator==(const upstream_state&, const upstream_state&) = default;
 };
 
-/// Runs calls on the upstream beside this daemon: one concurrency limit and one queue for all of them. Thread safe.
+/// Runs calls on the upstream beside this daemon: one concurrency limit and one queue for all of them. Thread
+/// safe.
 class upstream_gateway
 {
 public:
     /// Returns the level of the dependencies that a route calls.
     using dependency_level_function = std::function<overload::admission_level(std::string_view route)>;
 
-    upstream_gateway(const upstream_gateway_options& options, http::client_pool& pool, handle_registry& handles,
-                     exchange_watch& watch, dependency_level_function dependency_level);
+    upstream_gateway(const upstream_gateway_options& options, http::client_pool& pool,
+                     handle_registry& handles, exchange_watch& watch,
+                     dependency_level_function dependency_level);
 
     /// Records an announcement of the upstream.
     /// @returns conflict when another live instance is beside this daemon already
     core::result<void> announce(core::time_point now, const announcement& value);
 
-    /// Takes the upstream out of service when it stopped announcing itself, and answers queued calls whose deadline
-    /// became unmeetable. Call it at least every 50 ms.
+    /// Takes the upstream out of service when it stopped announcing itself, and answers queued calls whose
+    /// deadline became unmeetable. Call it at least every 50 ms.
     void tick(core::time_point now);
 
     /// Sets whether operators drain the instance.
@@ -97,7 +99,8 @@
     core::verdict wait_for_slot(std::unique_lock<std::mutex>& lock, const call_context& call,
                                 const forwarded_request& request);
     core::verdict wait_in_queue(std::unique_lock<std::mutex>& lock, const call_context& call,
-                                const forwarded_request& request, std::uint64_t id, overload::queue_ticket ticket);
+                                const forwarded_request& request, std::uint64_t id,
+                                overload::queue_ticket ticket);
     call_outcome execute(const std::shared_ptr<call_context>& call, const forwarded_request& request,
                          const http::endpoint& upstream);
     // The functions below are called with the lock held.
@@ -113,8 +116,8 @@
     exchange_watch& watch;
     dependency_level_function dependency_level;
 
-    // One lock for the decision point of the instance: its state machines are not thread safe, and a call takes the
-    // lock three times for well under a microsecond of work.
+    // One lock for the decision point of the instance: its state machines are not thread safe, and a call
+    // takes the lock three times for well under a microsecond of work.
     mutable std::mutex mutex;
     announcement last;
     core::time_point announced_at{};
--- a/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
@@ -24,9 +24,9 @@
     std::string zone;
     quota::daemon_ref self;
     quota::lending_terms lending;
-    /// A record that names a successor may be taken over by others only after this time, so lending goes on that
-    /// long through an outage of the platform. Losing lender and successor at once stops lending in the zone
-    /// for that long, unless an operator releases the zone record.
+    /// A record that names a successor may be taken over by others only after this time, so lending goes on
+    /// that long through an outage of the platform. Losing lender and successor at once stops lending in the
+    /// zone for that long, unless an operator releases the zone record.
     core::duration orphan_limit = std::chrono::hours{4};
 };
 
@@ -41,9 +41,9 @@
 
 /// This daemon's part in lending its zone's quota: candidate, successor or lender.
 ///
-/// Joins the zone lease in the platform, the promises between lender and successor, and the lender itself, so that
-/// lending happens only with authority. Deterministic and not thread safe; platform calls and messages go out as
-/// values, and results come in.
+/// Joins the zone lease in the platform, the promises between lender and successor, and the lender itself, so
+/// that lending happens only with authority. Deterministic and not thread safe; platform calls and messages
+/// go out as values, and results come in.
 class zone_keeper
 {
 public:
@@ -51,8 +51,8 @@
 
     zone_keeper(const zone_keeper_options& options, core::random_source random);
 
-    /// Sets whether this daemon reads the zone record and takes it over when it may. Few daemons of a zone do, so
-    /// that the platform calls do not grow with the fleet.
+    /// Sets whether this daemon reads the zone record and takes it over when it may. Few daemons of a zone
+    /// do, so that the platform calls do not grow with the fleet.
     void set_candidate(bool value);
 
     /// Returns whether this daemon reads the zone record.
@@ -78,7 +78,8 @@
     /// Handles a message of another daemon.
     outbox receive(core::time_point now, const protocol::quota_message& message);
 
-    /// Hands the role over, or gives it up, for a graceful stop. Call poll and the platform calls on until stopped.
+    /// Hands the role over, or gives it up, for a graceful stop. Call poll and the platform calls on until
+    /// stopped.
     outbox stop(core::time_point now);
 
     /// Returns whether nothing is left to hand over or to write.
@@ -142,8 +143,8 @@
     bool stopping = false;
 };
 
-/// Returns the name under which a process stands in the zone record. A restarted daemon has another one: it forgot
-/// the promises that it gave as a successor.
+/// Returns the name under which a process stands in the zone record. A restarted daemon has another one: it
+/// forgot the promises that it gave as a successor.
 std::string process_name(const quota::daemon_ref& process);
 
 /// Parses a process_name.
--- a/packages/daemon/src/announcement.cpp
+++ b/packages/daemon/src/announcement.cpp
@@ -14,11 +14,15 @@
 constexpr std::uint32_t max_slots = 100'000;
 constexpr std::size_t max_name_bytes = 64;
 
-bool is_name(const std::string& text) { return !text.empty() && text.size() <= max_name_bytes; }
+bool is_name(const std::string& text)
+{
+    return !text.empty() && text.size() <= max_name_bytes;
+}
 
 core::result<announcement> check(announcement value, const std::string& state)
 {
-    const auto refuse = [](const char* reason) { return core::make_error(core::error_code::invalid_argument, reason); };
+    const auto refuse = [](const char* reason)
+    { return core::make_error(core::error_code::invalid_argument, reason); };
     if (!is_name(value.service) || !is_name(value.instance) || !is_name(value.zone))
     {
         return refuse("service, instance and zone must have 1 to 64 characters");
--- a/packages/daemon/src/call_forwarder.cpp
+++ b/packages/daemon/src/call_forwarder.cpp
@@ -31,19 +31,29 @@
 }
 
 /// An exit daemon that is about to stop, or lost its upstream, has told that it will take no more calls.
-bool is_gone(core::reason why) { return why == core::reason::draining || why == core::reason::no_instance; }
+bool is_gone(core::reason why)
+{
+    return why == core::reason::draining || why == core::reason::no_instance;
+}
 
 } // namespace
 
 call_forwarder::call_forwarder(const call_forwarder_options& forwarder, destination_table& table,
-                               upstream_gateway& upstream, http::client_pool& connections, exchange_watch& silent_watch,
-                               const protocol::message_authenticator& signer, core::reason_counters& retry_counters)
-    : options(forwarder), destinations(table), gateway(upstream), pool(connections), watch(silent_watch),
-      authenticator(signer), retries(retry_counters)
+                               upstream_gateway& upstream, http::client_pool& connections,
+                               exchange_watch& silent_watch, const protocol::message_authenticator& signer,
+                               core::reason_counters& retry_counters)
+    : options(forwarder),
+      destinations(table),
+      gateway(upstream),
+      pool(connections),
+      watch(silent_watch),
+      authenticator(signer),
+      retries(retry_counters)
 {
 }
 
-call_outcome call_forwarder::forward(const std::shared_ptr<call_context>& call, const forwarded_request& request)
+call_outcome call_forwarder::forward(const std::shared_ptr<call_context>& call,
+                                     const forwarded_request& request)
 {
     const std::shared_ptr<called_service> service = this->destinations.find(call->service);
     if (!service)
@@ -150,8 +160,9 @@
     return outcome;
 }
 
-call_outcome call_forwarder::send_to_peer(const std::shared_ptr<call_context>& call, const forwarded_request& request,
-                                          const attempt& chosen, std::uint32_t lent)
+call_outcome call_forwarder::send_to_peer(const std::shared_ptr<call_context>& call,
+                                          const forwarded_request& request, const attempt& chosen,
+                                          std::uint32_t lent)
 {
     const core::time_point started = core::boot_clock::now();
     const auto remaining = std::chrono::duration_cast<std::chrono::microseconds>(call->deadline - started);
@@ -175,7 +186,8 @@
 
     http::cancellation control;
     const call_cancellation::registration cancel{call->cancellation, control};
-    exchange_watch::observation observation{this->watch, to_string(chosen.target.peer) + call->route, control, started};
+    exchange_watch::observation observation{this->watch, to_string(chosen.target.peer) + call->route, control,
+                                            started};
     const http::outgoing_request outgoing{.method = request.method,
                                           .target = request.target,
                                           .headers = &headers,
@@ -201,8 +213,9 @@
     if (outcome.verdict.why == core::reason::cancelled)
     {
         const core::reason why = call->cancellation.why();
-        outcome.verdict.why = observation.silent() ? core::reason::upstream_silent
-                                                   : (why == core::reason::none ? core::reason::cancelled : why);
+        outcome.verdict.why = observation.silent()
+                                  ? core::reason::upstream_silent
+                                  : (why == core::reason::none ? core::reason::cancelled : why);
     }
     if (outcome.verdict.result == core::outcome::not_run)
     {
@@ -228,7 +241,8 @@
     }
 }
 
-core::verdict call_forwarder::advise(core::verdict verdict, called_service& service, const forwarded_request& request)
+core::verdict call_forwarder::advise(core::verdict verdict, called_service& service,
+                                     const forwarded_request& request)
 {
     if (verdict.retry_after.count() == 0 && core::http_status(verdict.why) == 503)
     {
--- a/packages/daemon/src/caller_key.cpp
+++ b/packages/daemon/src/caller_key.cpp
@@ -90,7 +90,8 @@
 std::string parameter_value(std::string_view parameter)
 {
     const std::size_t equals = parameter.find('=');
-    return equals == std::string_view::npos ? std::string{} : percent_decode(parameter.substr(equals + 1), true);
+    return equals == std::string_view::npos ? std::string{}
+                                            : percent_decode(parameter.substr(equals + 1), true);
 }
 
 void collect(std::vector<std::string>& found, std::string value)
--- a/packages/daemon/src/claim_gate.cpp
+++ b/packages/daemon/src/claim_gate.cpp
@@ -21,10 +21,14 @@
 
 } // namespace
 
-claim_gate::claim_gate(idempotency::process_id process, idempotency::claim_committer::running_predicate is_running,
+claim_gate::claim_gate(idempotency::process_id process,
+                       idempotency::claim_committer::running_predicate is_running,
                        std::function<void()> notify_control)
-    : notify(std::move(notify_control)), self(std::move(process)), client({}, this->self, this->router),
-      committer({}, this->self, std::move(is_running)), answers(idempotency::answer_cache_options{})
+    : notify(std::move(notify_control)),
+      self(std::move(process)),
+      client({}, this->self, this->router),
+      committer({}, this->self, std::move(is_running)),
+      answers(idempotency::answer_cache_options{})
 {
 }
 
--- a/packages/daemon/src/config_watcher.cpp
+++ b/packages/daemon/src/config_watcher.cpp
@@ -10,7 +10,8 @@
 
 constexpr std::chrono::milliseconds watch_timeout{20'000};
 constexpr core::duration poll_interval = std::chrono::seconds{2};
-/// Longest wait after a failed call; with the jitter below, the return of the platform causes no burst of calls.
+/// Longest wait after a failed call; with the jitter below, the return of the platform causes no burst of
+/// calls.
 constexpr core::duration longest_backoff = std::chrono::seconds{4};
 constexpr core::duration first_backoff = std::chrono::milliseconds{250};
 
@@ -18,7 +19,10 @@
 
 config_watcher::config_watcher(const platform::http_object_store_options& options, std::uint64_t seed,
                                listener listening)
-    : store(options), repository(this->store), random(seed), callbacks(std::move(listening)),
+    : store(options),
+      repository(this->store),
+      random(seed),
+      callbacks(std::move(listening)),
       thread(core::posix_thread_options{.name = "config-watch"}, [this] { this->run(); })
 {
 }
@@ -52,7 +56,8 @@
         config_source source = config_source::peers;
         {
             std::unique_lock lock{this->mutex};
-            this->changed.wait(lock, [this] { return this->stopping || this->wanted != config_source::peers; });
+            this->changed.wait(lock,
+                               [this] { return this->stopping || this->wanted != config_source::peers; });
             if (this->stopping)
             {
                 return;
--- a/packages/daemon/src/control_loop.cpp
+++ b/packages/daemon/src/control_loop.cpp
@@ -63,7 +63,9 @@
 } // namespace
 
 control_loop::control_loop(daemon_state& shared, std::unique_ptr<protocol::control_transport> open_transport)
-    : state(shared), self{.id = shared.settings.id, .incarnation = shared.incarnation}, events(shared.events),
+    : state(shared),
+      self{.id = shared.settings.id, .incarnation = shared.incarnation},
+      events(shared.events),
       transport(std::move(open_transport)),
       members(make_gossip_options(shared.settings), make_own_record(shared.settings, shared.incarnation),
               core::random_source{make_random_number()}, core::boot_clock::now()),
@@ -71,7 +73,8 @@
       zone({.zone = shared.settings.zone, .self = this->self}, core::random_source{make_random_number()}),
       started_at(core::boot_clock::now())
 {
-    shared.process_is_running = [this](const idempotency::process_id& process) { return this->is_running(process); };
+    shared.process_is_running = [this](const idempotency::process_id& process)
+    { return this->is_running(process); };
     const platform::http_object_store_options store = make_store_options(shared.settings);
     this->lease_worker = std::make_unique<platform_worker>("zone-lease", store);
     this->claim_worker = std::make_unique<platform_worker>("claims", store);
@@ -82,17 +85,21 @@
             this->events.post([this, document = std::move(document)]
                               { this->apply(core::boot_clock::now(), document); });
         },
-        .on_platform_reached =
-            [this] { this->events.post([this] { this->members.platform_reached(core::boot_clock::now()); }); }};
+        .on_platform_reached = [this]
+        { this->events.post([this] { this->members.platform_reached(core::boot_clock::now()); }); }};
     this->watcher = std::make_unique<config_watcher>(store, make_random_number(), listener);
     this->status_text.store(std::make_shared<const std::string>("{}"));
 }
 
-control_loop::~control_loop() { this->stop(); }
+control_loop::~control_loop()
+{
+    this->stop();
+}
 
 void control_loop::start()
 {
-    this->thread = core::posix_thread{{.name = "control", .stack_bytes = 1024 * 1024}, [this] { this->run(); }};
+    this->thread =
+        core::posix_thread{{.name = "control", .stack_bytes = 1024 * 1024}, [this] { this->run(); }};
 }
 
 void control_loop::stop()
@@ -115,7 +122,8 @@
             this->update_own_record(core::boot_clock::now());
             if (const auto request = this->borrower.release(core::boot_clock::now()))
             {
-                this->send_quota({{.receiver = {}, .lender_zone = request->lender_zone, .message = *request}});
+                this->send_quota(
+                    {{.receiver = {}, .lender_zone = request->lender_zone, .message = *request}});
             }
             this->send_quota(this->zone.stop(core::boot_clock::now()));
         });
@@ -146,8 +154,9 @@
 
 void control_loop::wait_for_work()
 {
-    std::array<pollfd, 2> descriptors{pollfd{.fd = this->events.descriptor(), .events = POLLIN, .revents = 0},
-                                      pollfd{.fd = this->transport->receive_descriptor(), .events = POLLIN, .revents = 0}};
+    std::array<pollfd, 2> descriptors{
+        pollfd{.fd = this->events.descriptor(), .events = POLLIN, .revents = 0},
+        pollfd{.fd = this->transport->receive_descriptor(), .events = POLLIN, .revents = 0}};
     const core::duration left = std::max(this->next_tick_at - core::boot_clock::now(), core::duration{0});
     const auto timeout = std::chrono::ceil<std::chrono::milliseconds>(left).count();
     ::poll(descriptors.data(), descriptors.size(), static_cast<int>(timeout));
@@ -179,7 +188,8 @@
     for (int count = 0; count < receive_batch && this->transport->receive(message); ++count)
     {
         const auto envelope = protocol::open_sealed(message, this->state.authenticator);
-        const bool addressed = envelope && (envelope->receiver.empty() || envelope->receiver == this->self.id);
+        const bool addressed =
+            envelope && (envelope->receiver.empty() || envelope->receiver == this->self.id);
         if (!addressed)
         {
             this->state.metrics.control_messages_refused.fetch_add(1);
@@ -228,7 +238,8 @@
     }
 }
 
-void control_loop::handle_configuration_reply(core::time_point now, const protocol::control_envelope& envelope)
+void control_loop::handle_configuration_reply(core::time_point now,
+                                              const protocol::control_envelope& envelope)
 {
     const auto reply = protocol::decode_message<protocol::configuration_reply>(envelope.body);
     if (!reply)
@@ -301,8 +312,10 @@
         }
         if (receiver->id == this->self.id)
         {
-            protocol::control_envelope own{.sender = this->self.id, .body = protocol::encode_variant(outgoing.message)};
-            this->events.post([this, own = std::move(own)] { this->handle_quota(core::boot_clock::now(), own); });
+            protocol::control_envelope own{.sender = this->self.id,
+                                           .body = protocol::encode_variant(outgoing.message)};
+            this->events.post([this, own = std::move(own)]
+                              { this->handle_quota(core::boot_clock::now(), own); });
             continue;
         }
         this->send(receiver->control_address, receiver->id, protocol::control_kind::quota,
--- a/packages/daemon/src/control_loop_updates.cpp
+++ b/packages/daemon/src/control_loop_updates.cpp
@@ -24,7 +24,8 @@
 
 std::int64_t to_micro_tokens(double tokens)
 {
-    return static_cast<std::int64_t>(std::llround(tokens * static_cast<double>(quota::micro_tokens_per_token)));
+    return static_cast<std::int64_t>(
+        std::llround(tokens * static_cast<double>(quota::micro_tokens_per_token)));
 }
 
 std::shared_ptr<const quota::quota_revision> to_quota_revision(const config::fleet_config& config,
@@ -35,7 +36,8 @@
     quotas->zones = config.zones;
     for (const config::tenant_config& tenant : config.tenants)
     {
-        quotas->tenants[tenant.name] = {.rate = to_micro_tokens(tenant.rate), .burst = to_micro_tokens(tenant.burst)};
+        quotas->tenants[tenant.name] = {.rate = to_micro_tokens(tenant.rate),
+                                        .burst = to_micro_tokens(tenant.burst)};
     }
     return quotas;
 }
@@ -55,7 +57,8 @@
     }
 }
 
-idempotency::store_result make_claim_call(platform::http_object_store& store, const idempotency::store_call& call)
+idempotency::store_result make_claim_call(platform::http_object_store& store,
+                                          const idempotency::store_call& call)
 {
     idempotency::store_result result{.id = call.id};
     if (call.kind == idempotency::store_call_kind::read)
@@ -79,7 +82,8 @@
 
 bool is_live(const membership::member_record& member)
 {
-    return member.state == membership::member_state::alive || member.state == membership::member_state::suspect;
+    return member.state == membership::member_state::alive ||
+           member.state == membership::member_state::suspect;
 }
 
 } // namespace
@@ -155,7 +159,8 @@
         }
     }
     const bool lender = this->zone.lender_epoch(now) > 0;
-    // Without a configuration there is nothing to lend, and a joining daemon may not know its zone's members yet.
+    // Without a configuration there is nothing to lend, and a joining daemon may not know its zone's members
+    // yet.
     const bool informed = this->known_revision > 0 && now - this->started_at > peer_configuration_wait;
     const bool wanted = lender || this->zone.is_successor() || (informed && rank < zone_candidates);
     this->zone.set_candidate(wanted && !this->leaving);
@@ -174,7 +179,8 @@
     }
     else if (lonely || uninformed || this->zone_lender(this->state.settings.zone) == nullptr)
     {
-        source = lonely || uninformed || this->zone.is_candidate() ? config_source::poll : config_source::peers;
+        source =
+            lonely || uninformed || this->zone.is_candidate() ? config_source::poll : config_source::peers;
     }
     this->watcher->set_source(source);
 }
@@ -183,8 +189,8 @@
 {
     const config::limit_settings& limits = this->state.settings.limits;
     const core::duration platform_age = this->members.platform_contact_age(now);
-    const bool isolated = platform_age > limits.isolation_limit &&
-                          this->members.peer_contact_age(now) > limits.isolation_limit;
+    const bool isolated =
+        platform_age > limits.isolation_limit && this->members.peer_contact_age(now) > limits.isolation_limit;
     const bool verifiable = !isolated && platform_age <= limits.key_staleness_limit;
     if (this->state.keys_verifiable.exchange(verifiable) != verifiable)
     {
@@ -200,8 +206,9 @@
         return;
     }
     this->next_request_at = now + request_interval;
-    this->send(source->address, {}, protocol::control_kind::configuration_request,
-               protocol::encode_message(protocol::configuration_request{.known_revision = this->known_revision}));
+    this->send(
+        source->address, {}, protocol::control_kind::configuration_request,
+        protocol::encode_message(protocol::configuration_request{.known_revision = this->known_revision}));
 }
 
 void control_loop::apply(core::time_point now, const config::config_document& document)
@@ -243,8 +250,8 @@
     }
     this->quotas = std::move(named_quotas);
     const auto config = std::make_shared<const runtime_config>(
-        std::make_unique<config::fleet_index>(*parsed, document.revision), document.text, std::move(tenant_quotas),
-        this->state.names);
+        std::make_unique<config::fleet_index>(*parsed, document.revision), document.text,
+        std::move(tenant_quotas), this->state.names);
     this->state.current_config.store(config);
     this->known_revision = document.revision;
     this->document_text = *encoded;
@@ -255,8 +262,9 @@
     this->state.metrics.withdrawn_calls.fetch_add(cancelled);
     this->zone.configure(now, to_quota_revision(*parsed, document.revision));
     this->send_gossip(this->members.set_configuration_revision(now, document.revision));
-    log_line(config::log_level::info, "configuration_in_force",
-             {{"revision", std::to_string(document.revision)}, {"cancelled_calls", std::to_string(cancelled)}});
+    log_line(
+        config::log_level::info, "configuration_in_force",
+        {{"revision", std::to_string(document.revision)}, {"cancelled_calls", std::to_string(cancelled)}});
 }
 
 void control_loop::run_platform_calls(core::time_point now)
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -41,7 +41,8 @@
 
 daemon::~daemon()
 {
-    for (const auto* server : {&this->callers_server, &this->local_server, &this->peers_server, &this->admin_server})
+    for (const auto* server :
+         {&this->callers_server, &this->local_server, &this->peers_server, &this->admin_server})
     {
         if (*server)
         {
@@ -75,9 +76,10 @@
     options.max_connections = this->state.settings.limits.max_connections;
     options.name = "local";
     options.port = listen.local;
-    return this->open_server(this->local_server, options,
-                             [this](http::incoming_request& request, http::response& answer)
-                             { this->local.handle(request, answer); })
+    return this
+        ->open_server(this->local_server, options,
+                      [this](http::incoming_request& request, http::response& answer)
+                      { this->local.handle(request, answer); })
         .and_then(
             [&]
             {
@@ -109,8 +111,8 @@
             });
 }
 
-core::result<void> daemon::open_server(std::unique_ptr<http::server>& target, const http::server_options& options,
-                                       http::request_handler handler)
+core::result<void> daemon::open_server(std::unique_ptr<http::server>& target,
+                                       const http::server_options& options, http::request_handler handler)
 {
     auto server = http::server::start(options, std::move(handler));
     if (!server)
--- a/packages/daemon/src/destination_table.cpp
+++ b/packages/daemon/src/destination_table.cpp
@@ -32,8 +32,8 @@
 {
     const auto found = this->known.find(member.id);
     const bool usable = membership::accepts_work(member);
-    if (found != this->known.end() && found->second.version == member.version && found->second.usable == usable &&
-        found->second.drained == drained)
+    if (found != this->known.end() && found->second.version == member.version &&
+        found->second.usable == usable && found->second.drained == drained)
     {
         return;
     }
--- a/packages/daemon/src/entry_handler.cpp
+++ b/packages/daemon/src/entry_handler.cpp
@@ -12,7 +12,10 @@
 namespace
 {
 
-core::verdict refuse(core::reason why) { return {.result = core::outcome::not_run, .why = why}; }
+core::verdict refuse(core::reason why)
+{
+    return {.result = core::outcome::not_run, .why = why};
+}
 
 /// Keeps a call in the registry while it runs, so that a withdrawn key cancels it.
 class registered_call
@@ -100,7 +103,8 @@
     {
         return refuse(core::reason::key_unverifiable);
     }
-    if (const core::verdict refused = this->authenticate(request, admitted); refused.why != core::reason::none)
+    if (const core::verdict refused = this->authenticate(request, admitted);
+        refused.why != core::reason::none)
     {
         return refused;
     }
@@ -217,9 +221,9 @@
         return;
     }
     const std::lock_guard lock{service->mutex};
-    admitted.call->position = service->shares.assign(core::boot_clock::now(), cls,
-                                                     admitted.config->tenant_number(admitted.tenant),
-                                                     index.tenant(admitted.tenant).weight, service->random);
+    admitted.call->position =
+        service->shares.assign(core::boot_clock::now(), cls, admitted.config->tenant_number(admitted.tenant),
+                               index.tenant(admitted.tenant).weight, service->random);
 }
 
 void entry_handler::answer_refusal(const admitted_request& admitted, const core::verdict& verdict,
--- a/packages/daemon/src/event_queue.cpp
+++ b/packages/daemon/src/event_queue.cpp
@@ -18,7 +18,10 @@
     }
 }
 
-event_queue::~event_queue() { ::close(this->wake_descriptor); }
+event_queue::~event_queue()
+{
+    ::close(this->wake_descriptor);
+}
 
 void event_queue::post(std::function<void()> event)
 {
--- a/packages/daemon/src/exchange_watch.cpp
+++ b/packages/daemon/src/exchange_watch.cpp
@@ -31,8 +31,9 @@
     const std::lock_guard lock{this->owner.mutex};
     kind_state& state = this->owner.kinds[this->kind];
     const auto latency = static_cast<double>((now - this->started).count());
-    state.usual_latency =
-        state.usual_latency == 0.0 ? latency : state.usual_latency + smoothing * (latency - state.usual_latency);
+    state.usual_latency = state.usual_latency == 0.0
+                              ? latency
+                              : state.usual_latency + smoothing * (latency - state.usual_latency);
     for (auto earlier = state.running.begin(); earlier != this->position; ++earlier)
     {
         ++(*earlier)->overtaken;
--- a/packages/daemon/src/load_header.cpp
+++ b/packages/daemon/src/load_header.cpp
@@ -17,8 +17,8 @@
 {
     const auto nested_us = std::chrono::duration_cast<std::chrono::microseconds>(report.nested).count();
     return std::to_string(report.load.own_level) + ' ' + std::to_string(report.load.dependency_level) + ' ' +
-           std::to_string(report.load.queue_delay.count()) + ' ' + std::to_string(report.unused_attempts) + ' ' +
-           std::to_string(nested_us);
+           std::to_string(report.load.queue_delay.count()) + ' ' + std::to_string(report.unused_attempts) +
+           ' ' + std::to_string(nested_us);
 }
 
 std::optional<hop_report> parse_hop_report(std::string_view value)
--- a/packages/daemon/src/local_handler.cpp
+++ b/packages/daemon/src/local_handler.cpp
@@ -15,9 +15,13 @@
 constexpr std::string_view announce_path = "/laburnum/announce";
 constexpr std::uint64_t max_announcement_bytes = 16 * 1024;
 
-core::verdict refuse(core::reason why) { return {.result = core::outcome::not_run, .why = why}; }
+core::verdict refuse(core::reason why)
+{
+    return {.result = core::outcome::not_run, .why = why};
+}
 
-/// Marks a running call as waiting for a nested call, so that its slot's latency is not blamed on the upstream.
+/// Marks a running call as waiting for a nested call, so that its slot's latency is not blamed on the
+/// upstream.
 class nested_wait
 {
 public:
@@ -90,9 +94,9 @@
         return;
     }
     const core::result<announcement> parsed = parse_announcement(body);
-    const core::result<void> accepted =
-        parsed ? this->state.gateway.announce(core::boot_clock::now(), *parsed)
-               : core::result<void>{tl::unexpected<core::error>{parsed.error()}};
+    const core::result<void> accepted = parsed
+                                            ? this->state.gateway.announce(core::boot_clock::now(), *parsed)
+                                            : core::result<void>{tl::unexpected<core::error>{parsed.error()}};
     if (!accepted)
     {
         answer.status = accepted.error().code == core::error_code::conflict ? 409 : 400;
@@ -103,7 +107,8 @@
     answer.status = 204;
 }
 
-call_outcome local_handler::call_service(http::incoming_request& request, const std::shared_ptr<call_context>& parent)
+call_outcome local_handler::call_service(http::incoming_request& request,
+                                         const std::shared_ptr<call_context>& parent)
 {
     const auto config = this->state.configuration();
     const auto target = split_target(request.head().target);
@@ -113,8 +118,10 @@
     }
     const config::fleet_index& index = config->index();
     const auto service = index.find_service(target->service);
-    const auto route = service ? index.find_route(*service, request.head().method, target->path) : std::nullopt;
-    // Only declared dependencies can be called: they are free of cycles and the overload feedback covers them.
+    const auto route =
+        service ? index.find_route(*service, request.head().method, target->path) : std::nullopt;
+    // Only declared dependencies can be called: they are free of cycles and the overload feedback covers
+    // them.
     if (!route || !depends_on(index, parent->service, target->service))
     {
         return {.verdict = refuse(core::reason::route_unknown)};
@@ -143,7 +150,8 @@
     return outcome;
 }
 
-call_outcome local_handler::forward(http::incoming_request& request, const std::shared_ptr<call_context>& parent,
+call_outcome local_handler::forward(http::incoming_request& request,
+                                    const std::shared_ptr<call_context>& parent,
                                     const std::shared_ptr<call_context>& call, const runtime_config& config,
                                     config::route_index route_number, std::string_view target)
 {
@@ -179,7 +187,8 @@
                                       .route_has_calls = !route.calls.empty(),
                                       .caller_descriptor = request.descriptor(),
                                       .caller_gone = [&request] { return request.caller_gone(); }};
-    return route.idempotent ? this->state.forwarder.forward(call, forwarded) : this->once.run(call, forwarded);
+    return route.idempotent ? this->state.forwarder.forward(call, forwarded)
+                            : this->once.run(call, forwarded);
 }
 
 } // namespace laburnumreach::daemon
--- a/packages/daemon/src/log.cpp
+++ b/packages/daemon/src/log.cpp
@@ -13,7 +13,8 @@
 {
     el::Configurations settings;
     settings.setToDefault();
-    settings.setGlobally(el::ConfigurationType::Format, "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%levshort %msg");
+    settings.setGlobally(el::ConfigurationType::Format,
+                         "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%levshort %msg");
     settings.setGlobally(el::ConfigurationType::ToFile, "false");
     settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     const auto enable = [&](el::Level kind, config::log_level minimum)
@@ -28,9 +29,10 @@
 
 std::string quote_log_value(std::string_view value)
 {
-    const bool plain = !value.empty() && std::all_of(value.begin(), value.end(),
-                                                     [](unsigned char character)
-                                                     { return std::isgraph(character) != 0 && character != '"'; });
+    const bool plain =
+        !value.empty() &&
+        std::all_of(value.begin(), value.end(),
+                    [](unsigned char character) { return std::isgraph(character) != 0 && character != '"'; });
     if (plain)
     {
         return std::string{value};
--- a/packages/daemon/src/metrics_text.cpp
+++ b/packages/daemon/src/metrics_text.cpp
@@ -29,7 +29,8 @@
     return result;
 }
 
-void add_value(prometheus::MetricFamily& target, std::vector<prometheus::ClientMetric::Label> labels, double value)
+void add_value(prometheus::MetricFamily& target, std::vector<prometheus::ClientMetric::Label> labels,
+               double value)
 {
     prometheus::ClientMetric metric;
     metric.label = std::move(labels);
@@ -44,8 +45,8 @@
     target.metric.push_back(std::move(metric));
 }
 
-void add_single(family_list& families, std::string_view name, std::string_view help, prometheus::MetricType type,
-                double value)
+void add_single(family_list& families, std::string_view name, std::string_view help,
+                prometheus::MetricType type, double value)
 {
     prometheus::MetricFamily single = family(name, help, type);
     add_value(single, {}, value);
@@ -68,7 +69,8 @@
     prometheus::MetricFamily answers =
         family("answers_total", "Whole answers to callers.", prometheus::MetricType::Counter);
     prometheus::MetricFamily latency =
-        family("latency_seconds", "Time from a caller's request to its whole answer.", prometheus::MetricType::Summary);
+        family("latency_seconds", "Time from a caller's request to its whole answer.",
+               prometheus::MetricType::Summary);
     for (std::size_t index = 0; index < core::priority_class_count; ++index)
     {
         const std::string_view cls = core::to_string(static_cast<core::priority_class>(index));
@@ -92,12 +94,13 @@
 
 void add_servers(family_list& families, std::span<const named_server_counters> servers)
 {
-    prometheus::MetricFamily faults = family("malformed_requests_total", "Requests refused by the strict checks.",
-                                             prometheus::MetricType::Counter);
+    prometheus::MetricFamily faults =
+        family("malformed_requests_total", "Requests refused by the strict checks.",
+               prometheus::MetricType::Counter);
     prometheus::MetricFamily connections =
         family("open_connections", "Open connections.", prometheus::MetricType::Gauge);
-    prometheus::MetricFamily refused = family("refused_connections_total", "Connections over the limit.",
-                                              prometheus::MetricType::Counter);
+    prometheus::MetricFamily refused =
+        family("refused_connections_total", "Connections over the limit.", prometheus::MetricType::Counter);
     for (const named_server_counters& server : servers)
     {
         for (std::size_t index = 0; index < http::message_fault_count; ++index)
@@ -141,12 +144,14 @@
     add_reasons(families, "retries_total", "Further attempts, by the reason of the failure before.",
                 metrics.retries);
     add_classes(families, metrics);
-    add_single(families, "silent_connections_total", "Exchanges given up because their connection went silent.",
-               counter, static_cast<double>(metrics.silent_connections.load()));
-    add_single(families, "withdrawn_calls_total", "Running calls cancelled because their key was withdrawn.", counter,
-               static_cast<double>(metrics.withdrawn_calls.load()));
-    add_single(families, "control_messages_refused_total", "Control messages that were forged, damaged or misrouted.",
-               counter, static_cast<double>(metrics.control_messages_refused.load()));
+    add_single(families, "silent_connections_total",
+               "Exchanges given up because their connection went silent.", counter,
+               static_cast<double>(metrics.silent_connections.load()));
+    add_single(families, "withdrawn_calls_total", "Running calls cancelled because their key was withdrawn.",
+               counter, static_cast<double>(metrics.withdrawn_calls.load()));
+    add_single(families, "control_messages_refused_total",
+               "Control messages that were forged, damaged or misrouted.", counter,
+               static_cast<double>(metrics.control_messages_refused.load()));
     add_single(families, "upstream_in_flight", "Calls running on the upstream.", gauge, upstream.in_flight);
     add_single(families, "upstream_limit", "Concurrency limit of the upstream.", gauge, upstream.limit);
     add_single(families, "upstream_queue", "Calls waiting for the upstream.", gauge,
--- a/packages/daemon/src/once_runner.cpp
+++ b/packages/daemon/src/once_runner.cpp
@@ -66,7 +66,8 @@
     {
         if (const auto recorded = this->state.claims.find_answer(key))
         {
-            return {.verdict = {.result = core::outcome::ran}, .report = {}, .answer = to_response(*recorded)};
+            return {
+                .verdict = {.result = core::outcome::ran}, .report = {}, .answer = to_response(*recorded)};
         }
         if (decision.holder.daemon != this->state.settings.id)
         {
@@ -91,7 +92,8 @@
     const std::string target = std::string{recorded_answer_path} + to_hex(key);
     http::exchange_result exchange = this->state.pool.send(
         *peer, {.method = "GET", .target = target, .headers = &headers, .deadline = call.deadline});
-    const bool found = exchange.complete() && http::find_header(exchange.answer.headers, verdict_header_name) == "ran";
+    const bool found =
+        exchange.complete() && http::find_header(exchange.answer.headers, verdict_header_name) == "ran";
     if (!found)
     {
         return lost;
--- a/packages/daemon/src/peer_handler.cpp
+++ b/packages/daemon/src/peer_handler.cpp
@@ -10,7 +10,10 @@
 namespace
 {
 
-core::verdict refuse(core::reason why) { return {.result = core::outcome::not_run, .why = why}; }
+core::verdict refuse(core::reason why)
+{
+    return {.result = core::outcome::not_run, .why = why};
+}
 
 std::shared_ptr<call_context> make_context(const protocol::call_envelope& envelope)
 {
@@ -73,8 +76,8 @@
     }
     body_budget::reservation reservation{this->state.bodies};
     std::string body;
-    const core::reason unread = read_whole_body(request, this->state.settings.limits.max_body_bytes, reservation,
-                                                call->cancellation, body);
+    const core::reason unread = read_whole_body(request, this->state.settings.limits.max_body_bytes,
+                                                reservation, call->cancellation, body);
     if (unread != core::reason::none)
     {
         return {.verdict = refuse(unread)};
--- a/packages/daemon/src/request_target.cpp
+++ b/packages/daemon/src/request_target.cpp
@@ -36,7 +36,8 @@
     for (std::size_t mark = path.find('%'); mark != std::string_view::npos; mark = path.find('%', mark + 1))
     {
         const std::string_view escape = path.substr(mark, 3);
-        if (http::equal_ignoring_case(escape, "%2f") || http::equal_ignoring_case(escape, "%5c") || escape == "%00")
+        if (http::equal_ignoring_case(escape, "%2f") || http::equal_ignoring_case(escape, "%5c") ||
+            escape == "%00")
         {
             return true;
         }
@@ -74,9 +75,12 @@
     const std::string_view without_query = target.substr(0, target.find('?'));
     const std::size_t service_end = without_query.find('/', 1);
     request_target parts;
-    parts.service = without_query.substr(1, service_end == std::string_view::npos ? service_end : service_end - 1);
-    parts.path = service_end == std::string_view::npos ? std::string_view{"/"} : without_query.substr(service_end);
-    parts.path_and_query = service_end == std::string_view::npos ? std::string_view{"/"} : target.substr(service_end);
+    parts.service =
+        without_query.substr(1, service_end == std::string_view::npos ? service_end : service_end - 1);
+    parts.path =
+        service_end == std::string_view::npos ? std::string_view{"/"} : without_query.substr(service_end);
+    parts.path_and_query =
+        service_end == std::string_view::npos ? std::string_view{"/"} : target.substr(service_end);
     if (parts.service.empty() || !is_safe_path(parts.path))
     {
         return std::nullopt;
--- a/packages/daemon/src/tenant_quota.cpp
+++ b/packages/daemon/src/tenant_quota.cpp
@@ -19,7 +19,8 @@
 
 } // namespace
 
-tenant_quota::tenant_quota(std::shared_ptr<quota_account> tenant_account, std::function<void()> notify_control)
+tenant_quota::tenant_quota(std::shared_ptr<quota_account> tenant_account,
+                           std::function<void()> notify_control)
     : account(std::move(tenant_account)), notify(std::move(notify_control))
 {
 }
--- a/packages/daemon/src/upstream_gateway.cpp
+++ b/packages/daemon/src/upstream_gateway.cpp
@@ -13,7 +13,8 @@
 /// How often a queued call looks for a gone caller.
 constexpr std::chrono::milliseconds queue_poll_interval{50};
 
-overload::call_result to_call_result(const http::exchange_result& exchange, bool caused_by_dependency, bool silent)
+overload::call_result to_call_result(const http::exchange_result& exchange, bool caused_by_dependency,
+                                     bool silent)
 {
     if (exchange.complete())
     {
@@ -26,14 +27,21 @@
     return overload::call_result::failure;
 }
 
-core::verdict refusal(core::reason why) { return {.result = core::outcome::not_run, .why = why}; }
+core::verdict refusal(core::reason why)
+{
+    return {.result = core::outcome::not_run, .why = why};
+}
 
 } // namespace
 
 upstream_gateway::upstream_gateway(const upstream_gateway_options& gateway, http::client_pool& connections,
                                    handle_registry& registry, exchange_watch& silent_watch,
                                    dependency_level_function level)
-    : options(gateway), pool(connections), handles(registry), watch(silent_watch), dependency_level(std::move(level))
+    : options(gateway),
+      pool(connections),
+      handles(registry),
+      watch(silent_watch),
+      dependency_level(std::move(level))
 {
 }
 
@@ -42,13 +50,15 @@
     const std::lock_guard lock{this->mutex};
     if (value.zone != this->options.zone)
     {
-        return core::make_error(core::error_code::invalid_argument, "the daemon serves zone " + this->options.zone);
+        return core::make_error(core::error_code::invalid_argument,
+                                "the daemon serves zone " + this->options.zone);
     }
     const bool same_process = this->last.instance == value.instance && this->last.service == value.service &&
                               this->last.address == value.address;
     if (this->announced && !same_process)
     {
-        return core::make_error(core::error_code::conflict, "instance " + this->last.instance + " is beside this daemon");
+        return core::make_error(core::error_code::conflict,
+                                "instance " + this->last.instance + " is beside this daemon");
     }
     if (!this->control)
     {
@@ -113,7 +123,8 @@
             .queued = this->control->queue_length()};
 }
 
-call_outcome upstream_gateway::run(const std::shared_ptr<call_context>& call, const forwarded_request& request)
+call_outcome upstream_gateway::run(const std::shared_ptr<call_context>& call,
+                                   const forwarded_request& request)
 {
     http::endpoint upstream;
     {
@@ -207,8 +218,8 @@
     return own.why == core::reason::none ? core::verdict{} : refusal(own.why);
 }
 
-call_outcome upstream_gateway::execute(const std::shared_ptr<call_context>& call, const forwarded_request& request,
-                                       const http::endpoint& upstream)
+call_outcome upstream_gateway::execute(const std::shared_ptr<call_context>& call,
+                                       const forwarded_request& request, const http::endpoint& upstream)
 {
     const core::time_point started = core::boot_clock::now();
     const std::string handle = this->handles.add(call);
--- a/packages/daemon/src/zone_keeper.cpp
+++ b/packages/daemon/src/zone_keeper.cpp
@@ -68,7 +68,10 @@
 }
 
 zone_keeper::zone_keeper(const zone_keeper_options& keeper, core::random_source source)
-    : options(keeper), terms(make_terms(keeper)), random(source), lease(make_lease_options(keeper)),
+    : options(keeper),
+      terms(make_terms(keeper)),
+      random(source),
+      lease(make_lease_options(keeper)),
       promise(keeper.zone, keeper.self, this->terms)
 {
 }
@@ -88,7 +91,8 @@
     return record && record->successor == process_name(this->options.self);
 }
 
-void zone_keeper::set_zone_members(std::vector<quota::daemon_ref> live, std::vector<std::string> control_addresses)
+void zone_keeper::set_zone_members(std::vector<quota::daemon_ref> live,
+                                   std::vector<std::string> control_addresses)
 {
     this->members = std::move(live);
     this->lease.set_members(std::move(control_addresses));
@@ -141,16 +145,17 @@
     if (takeover && (this->stopping || !this->promise.begin_takeover(this->version_seen_at, now)))
     {
         // A promise to the present lender holds, so the write must not be sent.
-        this->lease.on_write(now, core::make_error(core::error_code::unavailable, "a promise forbids the takeover"),
-                             this->random);
+        this->lease.on_write(
+            now, core::make_error(core::error_code::unavailable, "a promise forbids the takeover"),
+            this->random);
         return std::nullopt;
     }
     this->begin_write(now, *call, *record, takeover);
     return call;
 }
 
-void zone_keeper::begin_write(core::time_point now, const platform::zone_call& call, platform::zone_record record,
-                              bool takeover)
+void zone_keeper::begin_write(core::time_point now, const platform::zone_call& call,
+                              platform::zone_record record, bool takeover)
 {
     if (takeover)
     {
@@ -253,20 +258,23 @@
     this->promise.takeover_won(own);
     quota::lender_options settings;
     settings.epoch = own;
-    // The first version of a record proves that the zone never had a lender, so there are no loans to wait for.
+    // The first version of a record proves that the zone never had a lender, so there are no loans to wait
+    // for.
     settings.start_full = this->seen_version == 1;
     settings.start_after = settings.start_full ? now : now + quota::takeover_wait(this->options.lending);
     this->start_lender(now, settings, nullptr);
 }
 
-void zone_keeper::start_lender(core::time_point now, quota::lender_options settings, const quota::handover* from)
+void zone_keeper::start_lender(core::time_point now, quota::lender_options settings,
+                               const quota::handover* from)
 {
     settings.zone = this->options.zone;
     settings.self = this->options.self;
     settings.terms = this->options.lending;
     this->lender = from == nullptr ? std::make_unique<quota::lender>(settings, now)
                                    : std::make_unique<quota::lender>(settings, *from, now);
-    // The revisions that the record listed before this daemon's first write are those of the lender before it.
+    // The revisions that the record listed before this daemon's first write are those of the lender before
+    // it.
     for (const platform::listed_revision& listed : this->lease.listed_by_others())
     {
         this->lender->adopt_unknown(listed.revision, listed.zones);
@@ -284,8 +292,8 @@
     for (const std::uint64_t number : this->lender->revisions_in_use())
     {
         const bool newest = this->revision && this->revision->revision == number;
-        listed.push_back({.revision = number,
-                          .zones = newest ? this->revision->zones : this->lender->zones_of(number)});
+        listed.push_back(
+            {.revision = number, .zones = newest ? this->revision->zones : this->lender->zones_of(number)});
     }
     return listed;
 }
@@ -307,9 +315,9 @@
 
 void zone_keeper::name_successor(core::time_point now)
 {
-    const bool still_live = this->candidate_successor &&
-                            std::find(this->members.begin(), this->members.end(), *this->candidate_successor) !=
-                                this->members.end();
+    const bool still_live =
+        this->candidate_successor && std::find(this->members.begin(), this->members.end(),
+                                               *this->candidate_successor) != this->members.end();
     if (!still_live)
     {
         this->candidate_successor =
@@ -442,7 +450,9 @@
 
 std::uint64_t zone_keeper::lender_epoch(core::time_point now) const
 {
-    return this->lender && this->lender->has_authority(now) && this->lease.record() ? this->lease.record()->epoch : 0;
+    return this->lender && this->lender->has_authority(now) && this->lease.record()
+               ? this->lease.record()->epoch
+               : 0;
 }
 
 core::time_point zone_keeper::authority_until() const
--- a/packages/protocol/include/laburnumreach/protocol/quota_messages.hpp
+++ b/packages/protocol/include/laburnumreach/protocol/quota_messages.hpp
@@ -48,9 +48,9 @@
 {
     static auto fields(auto& message)
     {
-        return std::tie(message.tenant, message.epoch, message.loan_id, message.applied_seq, message.held_rate,
-                        message.held_capacity, message.held_tokens, message.returned_tokens, message.demand,
-                        message.wanted_tokens);
+        return std::tie(message.tenant, message.epoch, message.loan_id, message.applied_seq,
+                        message.held_rate, message.held_capacity, message.held_tokens,
+                        message.returned_tokens, message.demand, message.wanted_tokens);
     }
 };
 
@@ -115,7 +115,8 @@
     static auto fields(auto& message)
     {
         return std::tie(message.zone, message.epoch, message.from, message.to, message.promise_number,
-                        message.authority_lasts, message.loans_lapse_after, message.revisions, message.tenants);
+                        message.authority_lasts, message.loans_lapse_after, message.revisions,
+                        message.tenants);
     }
 };
 
--- a/packages/quota/src/tenant_pool.cpp
+++ b/packages/quota/src/tenant_pool.cpp
@@ -21,7 +21,10 @@
 
 } // namespace
 
-tenant_pool::tenant_pool(const lending_terms& settings, core::time_point now) : terms(settings), bucket({}, now) {}
+tenant_pool::tenant_pool(const lending_terms& settings, core::time_point now)
+    : terms(settings), bucket({}, now)
+{
+}
 
 void tenant_pool::set_other_zones(const std::vector<std::string>& zones)
 {
