--- a/packages/config/src/fleet_config_checker.cpp
+++ b/packages/config/src/fleet_config_checker.cpp
@@ -24,6 +24,10 @@
     std::set<std::string_view> seen;
     for (std::size_t index = 0; index < values.size(); ++index)
     {
+        if (!reader.has_string_at(name, index))
+        {
+            continue;
+        }
         if (!is_name(values[index], fleet_limits::name_bytes))
         {
             reader.fault_at(name, index,
--- a/packages/config/src/toml_reader.cpp
+++ b/packages/config/src/toml_reader.cpp
@@ -55,6 +55,13 @@
     this->faults.add(array->get(element)->source(), std::move(reason));
 }
 
+bool toml_reader::has_string_at(std::string_view name, std::size_t element) const
+{
+    const toml::array* array = this->source.get_as<toml::array>(name);
+    assert(array != nullptr && element < array->size());
+    return array->get(element)->is_string();
+}
+
 const toml::node* toml_reader::find(std::string_view name)
 {
     this->known.emplace_back(name);
--- a/packages/config/src/toml_reader.hpp
+++ b/packages/config/src/toml_reader.hpp
@@ -51,6 +51,9 @@
     /// Adds a fault at the position of an element of an array.
     void fault_at(std::string_view name, std::size_t element, std::string reason);
 
+    /// Returns whether an element of an array is a string; otherwise its fault was added by strings.
+    bool has_string_at(std::string_view name, std::size_t element) const;
+
     bool has(std::string_view name) const { return this->source.contains(name); }
 
     /// Reads a string; a missing one is a fault unless there is a fallback.
--- /dev/null
+++ b/packages/platform/include/laburnumreach/platform/zone_record.hpp
@@ -0,0 +1,42 @@
+#ifndef LABURNUMREACH_PLATFORM_ZONE_RECORD_HPP
+#define LABURNUMREACH_PLATFORM_ZONE_RECORD_HPP
+
+#include "laburnumreach/core/error.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace laburnumreach::platform
+{
+
+/// Content of the platform object zone/<zone>.
+struct zone_record
+{
+    static constexpr std::size_t max_members = 32;
+
+    std::string holder;               ///< Daemon id of the lender; empty after a graceful release.
+    std::uint64_t incarnation = 0;    ///< Incarnation of the holder.
+    std::uint64_t epoch = 0;          ///< Positive; grows by one at each takeover.
+    std::string successor;            ///< Only daemon that may take over early; empty when nobody is named.
+    std::vector<std::string> members; ///< Control addresses of some members, as seeds.
+    std::string operation_id;         ///< Id of the write, so that the writer recognises it.
+
+    friend bool operator==(const zone_record&, const zone_record&) = default;
+};
+
+/// Returns the name of the object of a zone.
+std::string zone_object_name(std::string_view zone);
+
+/// Encodes a record as JSON.
+std::string encode(const zone_record& record);
+
+/// Decodes a record.
+/// @returns invalid_argument when the value is not a valid record
+core::result<zone_record> decode_zone_record(std::string_view value);
+
+} // namespace laburnumreach::platform
+
+#endif
