--- a/packages/daemon/include/laburnumreach/daemon/forwarded_call.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/forwarded_call.hpp
@@ -5,6 +5,7 @@
 #include "laburnumreach/daemon/load_header.hpp"
 #include "laburnumreach/http/headers.hpp"
 #include "laburnumreach/http/response.hpp"
+#include "laburnumreach/overload/destination.hpp"
 
 #include <cstdint>
 #include <functional>
--- a/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
@@ -10,6 +10,7 @@
 #include "laburnumreach/quota/successor_promise.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -126,6 +127,7 @@
     std::optional<quota::lender_authority> authority;
     std::unique_ptr<quota::lender> lender;
     std::shared_ptr<const quota::quota_revision> revision;
+    std::map<std::uint64_t, std::vector<std::string>> zones_by_revision;
     std::vector<quota::daemon_ref> members;
     std::optional<quota::daemon_ref> candidate_successor;
     core::time_point candidate_promised_at{};
--- a/packages/daemon/src/zone_keeper.cpp
+++ b/packages/daemon/src/zone_keeper.cpp
@@ -101,6 +101,7 @@
 void zone_keeper::configure(core::time_point now, std::shared_ptr<const quota::quota_revision> quotas)
 {
     this->revision = std::move(quotas);
+    this->zones_by_revision[this->revision->revision] = this->revision->zones;
     if (this->lender)
     {
         this->lender->configure(this->revision, now);
@@ -273,10 +274,10 @@
     settings.terms = this->options.lending;
     this->lender = from == nullptr ? std::make_unique<quota::lender>(settings, now)
                                    : std::make_unique<quota::lender>(settings, *from, now);
-    // The revisions that the record listed before this daemon's first write are those of the lender before
-    // it.
-    for (const platform::listed_revision& listed : this->lease.listed_by_others())
+    // The record still lists the revisions of the lender before, since other zones may rely on them.
+    for (const platform::listed_revision& listed : this->lease.record()->revisions)
     {
+        this->zones_by_revision[listed.revision] = listed.zones;
         this->lender->adopt_unknown(listed.revision, listed.zones);
     }
     if (this->revision)
@@ -291,9 +292,10 @@
     std::vector<platform::listed_revision> listed;
     for (const std::uint64_t number : this->lender->revisions_in_use())
     {
-        const bool newest = this->revision && this->revision->revision == number;
+        const auto zones = this->zones_by_revision.find(number);
         listed.push_back(
-            {.revision = number, .zones = newest ? this->revision->zones : this->lender->zones_of(number)});
+            {.revision = number,
+             .zones = zones == this->zones_by_revision.end() ? std::vector<std::string>{} : zones->second});
     }
     return listed;
 }
--- a/packages/platform/include/laburnumreach/platform/zone_lease.hpp
+++ b/packages/platform/include/laburnumreach/platform/zone_lease.hpp
@@ -94,6 +94,10 @@
     /// Sets the member sample; written with the next renewal. Only the first max_members are kept.
     void set_members(std::vector<std::string> addresses);
 
+    /// Sets the revisions in use; written with the next renewal. Before the first call, a takeover keeps
+    /// those of the record that it replaces.
+    void set_revisions(std::vector<listed_revision> listed);
+
     /// Forbids a takeover before this time: the successor's promise to the holder.
     void set_promise_until(core::time_point until) { this->promise_until = until; }
 
@@ -172,6 +176,7 @@
     core::time_point promise_until;
     std::string successor;
     std::vector<std::string> members;
+    std::optional<std::vector<listed_revision>> revisions;
     std::uint32_t failed_calls = 0;  ///< Calls in a row that the platform did not answer.
     std::uint32_t failed_writes = 0; ///< Writes since the version last changed that were not confirmed.
     bool must_read = true;
--- a/packages/platform/include/laburnumreach/platform/zone_record.hpp
+++ b/packages/platform/include/laburnumreach/platform/zone_record.hpp
@@ -12,6 +12,15 @@
 namespace laburnumreach::platform
 {
 
+/// A revision of the configuration whose quotas the zone's lender uses.
+struct listed_revision
+{
+    std::uint64_t revision = 0;
+    std::vector<std::string> zones; ///< Zones among which that revision splits rate and burst.
+
+    friend bool operator==(const listed_revision&, const listed_revision&) = default;
+};
+
 /// Content of the platform object zone/<zone>.
 struct zone_record
 {
@@ -22,7 +31,9 @@
     std::uint64_t epoch = 0;          ///< Positive; grows by one at each takeover.
     std::string successor;            ///< Only daemon that may take over early; empty when nobody is named.
     std::vector<std::string> members; ///< Control addresses of some members, as seeds.
-    std::string operation_id;         ///< Id of the write, so that the writer recognises it.
+    /// Revisions in use, ascending. The next lender relies on them, since other zones do.
+    std::vector<listed_revision> revisions;
+    std::string operation_id; ///< Id of the write, so that the writer recognises it.
 
     friend bool operator==(const zone_record&, const zone_record&) = default;
 };
--- a/packages/platform/src/zone_lease.cpp
+++ b/packages/platform/src/zone_lease.cpp
@@ -85,6 +85,8 @@
             .epoch = this->seen.greatest_epoch,
             .successor = this->successor,
             .members = this->members,
+            .revisions = this->revisions.value_or(this->seen.record ? this->seen.record->revisions
+                                                                    : std::vector<listed_revision>{}),
             .operation_id = {}};
 }
 
@@ -307,6 +309,11 @@
     this->members = std::move(addresses);
 }
 
+void zone_lease::set_revisions(std::vector<listed_revision> listed)
+{
+    this->revisions = std::move(listed);
+}
+
 void zone_lease::release()
 {
     this->candidate = false;
--- a/packages/platform/src/zone_record.cpp
+++ b/packages/platform/src/zone_record.cpp
@@ -11,12 +11,42 @@
     return "zone/" + std::string{zone};
 }
 
+namespace
+{
+
+nlohmann::json to_json(const std::vector<listed_revision>& revisions)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const listed_revision& listed : revisions)
+    {
+        list.push_back({{"revision", listed.revision}, {"zones", listed.zones}});
+    }
+    return list;
+}
+
+std::vector<listed_revision> parse_revisions(const nlohmann::json& list)
+{
+    std::vector<listed_revision> revisions;
+    for (const nlohmann::json& entry : list)
+    {
+        revisions.push_back({.revision = entry.at("revision").get<std::uint64_t>(),
+                             .zones = entry.at("zones").get<std::vector<std::string>>()});
+    }
+    return revisions;
+}
+
+} // namespace
+
 std::string encode(const zone_record& record)
 {
     assert(record.epoch > 0 && !record.operation_id.empty());
-    const nlohmann::json json{{"holder", record.holder},   {"incarnation", record.incarnation},
-                              {"epoch", record.epoch},     {"successor", record.successor},
-                              {"members", record.members}, {"operation_id", record.operation_id}};
+    const nlohmann::json json{{"holder", record.holder},
+                              {"incarnation", record.incarnation},
+                              {"epoch", record.epoch},
+                              {"successor", record.successor},
+                              {"members", record.members},
+                              {"revisions", to_json(record.revisions)},
+                              {"operation_id", record.operation_id}};
     return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -38,6 +68,7 @@
                            .epoch = json.at("epoch").get<std::uint64_t>(),
                            .successor = json.at("successor").get<std::string>(),
                            .members = json.at("members").get<std::vector<std::string>>(),
+                           .revisions = parse_revisions(json.at("revisions")),
                            .operation_id = json.at("operation_id").get<std::string>()};
         if (record.epoch == 0 || record.operation_id.empty() ||
             record.members.size() > zone_record::max_members)
--- a/packages/protocol/include/laburnumreach/protocol/control_envelope.hpp
+++ b/packages/protocol/include/laburnumreach/protocol/control_envelope.hpp
@@ -23,8 +23,7 @@
     quota = 2,
     configuration_request = 3,
     configuration_reply = 4,
-    successor = 5,
-    claim = 6,
+    claim = 5,
 };
 
 /// A control message between daemons.
--- a/packages/protocol/include/laburnumreach/protocol/message_codec.hpp
+++ b/packages/protocol/include/laburnumreach/protocol/message_codec.hpp
@@ -71,6 +71,28 @@
     namespace adaptor
     {
 
+    /// Durations travel as nanoseconds. Points in time never travel: clocks of different VMs are not related.
+    template <>
+    struct pack<std::chrono::nanoseconds>
+    {
+        template <typename Stream>
+        packer<Stream>& operator()(packer<Stream>& output, const std::chrono::nanoseconds& value) const
+        {
+            output.pack(static_cast<std::int64_t>(value.count()));
+            return output;
+        }
+    };
+
+    template <>
+    struct convert<std::chrono::nanoseconds>
+    {
+        const msgpack::object& operator()(const msgpack::object& input, std::chrono::nanoseconds& value) const
+        {
+            value = std::chrono::nanoseconds{input.as<std::int64_t>()};
+            return input;
+        }
+    };
+
     template <typename Message>
     struct pack<Message, std::enable_if_t<laburnumreach::protocol::wire_message<Message>>>
     {
