--- a/packages/standin/include/laburnumreach/standin/connection.hpp
+++ b/packages/standin/include/laburnumreach/standin/connection.hpp
@@ -2,23 +2,22 @@
 #define LABURNUMREACH_STANDIN_CONNECTION_HPP
 
 #include "laburnumreach/core/time.hpp"
+#include "laburnumreach/standin/socket_stream.hpp"
 
-#include <array>
 #include <atomic>
 #include <cstddef>
-#include <httplib.h>
-#include <string>
+#include <cstdint>
 #include <string_view>
 
 namespace laburnumreach::standin
 {
 
-/// A caller's TCP connection as cpp-httplib sees it, with the faults that a handler may apply to it.
-class connection : public httplib::Stream
+/// A caller's TCP connection, with the faults that a handler may apply to it.
+class connection : public socket_stream
 {
 public:
     /// Why a wait ended.
-    enum class wake_cause
+    enum class wake_cause : std::uint8_t
     {
         timeout,
         closed,    ///< The caller closed the connection, or the server stops.
@@ -31,34 +30,44 @@
     connection& operator=(const connection&) = delete;
     ~connection() override;
 
-    /// Waits for the first byte of the next request.
+    /// Waits for the first byte of the next request and forgets what the last request switched on.
     /// @returns false when the caller closed, the server stops or nothing came within the time
-    bool wait_for_request(core::duration at_most) const;
+    bool wait_for_request(core::duration at_most);
 
     /// Sleeps until the time is over, the caller closes or signal is called.
     wake_cause wait(core::duration at_most) const;
 
+    /// Sleeps until the time is over or the caller closes.
+    /// @returns false when the caller closed
+    bool sleep(core::duration time) const;
+
     /// Waits until the caller closes or the server stops.
     void wait_for_close() const;
 
-    /// Returns whether the caller has closed its side.
-    bool caller_closed() const { return this->wait(core::duration::zero()) == wake_cause::closed; }
-
     /// Wakes the thread in wait.
     void signal() const;
 
-    /// Drops everything that is written from now on and closes the connection after this request.
-    void discard_answer() { this->discard = true; }
-
     /// Sends bytes as they are.
     /// @returns whether all bytes were sent
     bool write_raw(std::string_view bytes);
 
+    /// Drops everything that is written from now on and closes the connection after this request.
+    void discard_answer() { this->writes = write_mode::fail; }
+
+    /// Drops everything that is written for this request; the connection stays open.
+    void swallow_answer() { this->writes = write_mode::swallow; }
+
     /// Closes the connection after the answer to this request.
     void close_after_answer() { this->last_request = true; }
 
     /// Returns whether no further request is to be read.
-    bool ends() const { return this->discard || this->last_request; }
+    bool ends() const { return this->writes == write_mode::fail || this->last_request; }
+
+    /// Bounds the speed of this request's reads; zero is unbounded.
+    void pace_reads(std::size_t bytes_per_second) { this->read_pace = bytes_per_second; }
+
+    /// Bounds the speed of this request's writes; zero is unbounded.
+    void pace_writes(std::size_t bytes_per_second) { this->write_pace = bytes_per_second; }
 
     /// Leaves all later requests on this connection without an answer.
     void set_silent() { this->silent = true; }
@@ -69,24 +78,26 @@
     /// Ends all waits and reads; callable from any thread.
     void shut_down() const;
 
-    bool is_readable() const override;
-    bool is_writable() const override;
     ssize_t read(char* buffer, std::size_t size) override;
     ssize_t write(const char* data, std::size_t size) override;
-    void get_remote_ip_and_port(std::string& ip, int& port) const override;
-    void get_local_ip_and_port(std::string& ip, int& port) const override;
-    socket_t socket() const override { return this->descriptor; }
+
+protected:
+    bool wait_ready(short events) const override;
 
 private:
-    const int descriptor;
+    enum class write_mode : std::uint8_t
+    {
+        send,
+        swallow,
+        fail,
+    };
+
     const int wake_descriptor;
     std::atomic<bool> silent = false;
-    bool discard = false;
+    write_mode writes = write_mode::send;
     bool last_request = false;
-    // cpp-httplib reads header lines byte by byte.
-    std::array<char, 16 * 1024> buffered{};
-    std::size_t buffered_begin = 0;
-    std::size_t buffered_end = 0;
+    std::size_t read_pace = 0;
+    std::size_t write_pace = 0;
 };
 
 } // namespace laburnumreach::standin
--- a/packages/standin/include/laburnumreach/standin/loopback_server.hpp
+++ b/packages/standin/include/laburnumreach/standin/loopback_server.hpp
@@ -44,6 +44,12 @@
     loopback_server& operator=(const loopback_server&) = delete;
     ~loopback_server() override;
 
+    /// Sets a function that runs before the body of a request is read. Call it before start.
+    void set_before_body(std::function<void(const std::string& path, connection& caller)> hook)
+    {
+        this->before_body = std::move(hook);
+    }
+
     /// Binds the address and starts to accept.
     core::result<void> start();
 
@@ -71,6 +77,7 @@
 
     loopback_address address;
     request_handler handler;
+    std::function<void(const std::string& path, connection& caller)> before_body;
     std::atomic<bool> stopping = false;
     std::atomic<bool> silence_new = false;
     std::mutex mutex;
--- a/packages/standin/src/connection.cpp
+++ b/packages/standin/src/connection.cpp
@@ -1,11 +1,8 @@
 #include "laburnumreach/standin/connection.hpp"
 
 #include <algorithm>
-#include <arpa/inet.h>
+#include <array>
 #include <cerrno>
-#include <cstdint>
-#include <cstring>
-#include <poll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <system_error>
@@ -19,51 +16,23 @@
 
 constexpr std::chrono::seconds transfer_timeout{60};
 
-using name_function = int (*)(int, sockaddr*, socklen_t*);
+/// A paced transfer moves this fraction of a second's bytes at once.
+constexpr std::size_t pace_steps_per_second = 100;
 
-void read_address(name_function name_of, int descriptor, std::string& ip, int& port)
+std::size_t paced_size(std::size_t bytes_per_second, std::size_t size)
 {
-    sockaddr_in address{};
-    socklen_t length = sizeof(address);
-    if (name_of(descriptor, reinterpret_cast<sockaddr*>(&address), &length) != 0)
-    {
-        return;
-    }
-    std::array<char, INET_ADDRSTRLEN> text{};
-    ::inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
-    ip = text.data();
-    port = ntohs(address.sin_port);
-}
-
-/// Polls until the deadline and repeats after interrupts by signals.
-int poll_until(pollfd* entries, nfds_t count, core::duration at_most)
-{
-    const core::time_point deadline = core::boot_clock::now() + at_most;
-    while (true)
-    {
-        const core::duration left =
-            std::max(core::duration::zero(), core::duration{deadline - core::boot_clock::now()});
-        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(left);
-        const timespec timeout{.tv_sec = seconds.count(), .tv_nsec = (left - seconds).count()};
-        const int ready = ::ppoll(entries, count, &timeout, nullptr);
-        if (ready >= 0 || errno != EINTR)
-        {
-            return ready;
-        }
-    }
+    return std::min(size, std::max<std::size_t>(1, bytes_per_second / pace_steps_per_second));
 }
 
-constexpr short closed_events = POLLRDHUP | POLLHUP | POLLERR | POLLNVAL;
-
 } // namespace
 
 connection::connection(int accepted)
-    : descriptor(accepted), wake_descriptor(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    : socket_stream(accepted), wake_descriptor(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
 {
     if (this->wake_descriptor < 0)
     {
         const int cause = errno;
-        ::close(this->descriptor);
+        ::close(accepted);
         throw std::system_error{cause, std::generic_category(), "eventfd"};
     }
 }
@@ -71,29 +40,32 @@
 connection::~connection()
 {
     ::close(this->wake_descriptor);
-    ::close(this->descriptor);
+    ::close(this->socket());
 }
 
-bool connection::wait_for_request(core::duration at_most) const
+bool connection::wait_for_request(core::duration at_most)
 {
-    if (this->buffered_begin < this->buffered_end)
+    this->writes = write_mode::send;
+    this->read_pace = 0;
+    this->write_pace = 0;
+    if (this->has_buffered())
     {
         return true;
     }
-    pollfd entry{.fd = this->descriptor, .events = POLLIN, .revents = 0};
-    if (poll_until(&entry, 1, at_most) <= 0)
+    pollfd entry{.fd = this->socket(), .events = POLLIN, .revents = 0};
+    if (poll_for(&entry, 1, at_most) <= 0)
     {
         return false;
     }
     char first = 0;
-    return ::recv(this->descriptor, &first, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return ::recv(this->socket(), &first, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 connection::wake_cause connection::wait(core::duration at_most) const
 {
-    std::array<pollfd, 2> entries{{{.fd = this->descriptor, .events = POLLRDHUP, .revents = 0},
+    std::array<pollfd, 2> entries{{{.fd = this->socket(), .events = POLLRDHUP, .revents = 0},
                                    {.fd = this->wake_descriptor, .events = POLLIN, .revents = 0}}};
-    if (poll_until(entries.data(), entries.size(), at_most) <= 0)
+    if (poll_for(entries.data(), entries.size(), at_most) <= 0)
     {
         return wake_cause::timeout;
     }
@@ -106,9 +78,23 @@
     return wake_cause::signalled;
 }
 
+bool connection::sleep(core::duration time) const
+{
+    const core::time_point deadline = core::boot_clock::now() + time;
+    while (true)
+    {
+        const wake_cause cause =
+            this->wait(std::max(core::duration::zero(), core::duration{deadline - core::boot_clock::now()}));
+        if (cause != wake_cause::signalled)
+        {
+            return cause == wake_cause::timeout;
+        }
+    }
+}
+
 void connection::wait_for_close() const
 {
-    while (this->wait(std::chrono::hours{1}) != wake_cause::closed)
+    while (this->sleep(std::chrono::hours{1}))
     {
     }
 }
@@ -135,65 +121,43 @@
 
 void connection::shut_down() const
 {
-    ::shutdown(this->descriptor, SHUT_RDWR);
-}
-
-bool connection::is_readable() const
-{
-    if (this->buffered_begin < this->buffered_end)
-    {
-        return true;
-    }
-    pollfd entry{.fd = this->descriptor, .events = POLLIN, .revents = 0};
-    return poll_until(&entry, 1, transfer_timeout) > 0;
-}
-
-bool connection::is_writable() const
-{
-    pollfd entry{.fd = this->descriptor, .events = POLLOUT, .revents = 0};
-    return poll_until(&entry, 1, transfer_timeout) > 0 && (entry.revents & (POLLERR | POLLHUP)) == 0;
+    ::shutdown(this->socket(), SHUT_RDWR);
 }
 
 ssize_t connection::read(char* buffer, std::size_t size)
 {
-    if (this->buffered_begin == this->buffered_end)
+    if (this->read_pace > 0)
     {
-        if (!this->is_readable())
+        size = paced_size(this->read_pace, size);
+        if (!this->sleep(std::chrono::milliseconds{1000 * size / this->read_pace}))
         {
             return -1;
         }
-        const ssize_t received =
-            ::recv(this->descriptor, this->buffered.data(), this->buffered.size(), MSG_DONTWAIT);
-        if (received <= 0)
-        {
-            return received;
-        }
-        this->buffered_begin = 0;
-        this->buffered_end = static_cast<std::size_t>(received);
     }
-    const std::size_t taken = std::min(size, this->buffered_end - this->buffered_begin);
-    std::memcpy(buffer, this->buffered.data() + this->buffered_begin, taken);
-    this->buffered_begin += taken;
-    return static_cast<ssize_t>(taken);
+    return this->socket_stream::read(buffer, size);
 }
 
 ssize_t connection::write(const char* data, std::size_t size)
 {
-    if (this->discard || !this->is_writable())
+    if (this->writes != write_mode::send)
     {
-        return -1;
+        return this->writes == write_mode::fail ? -1 : static_cast<ssize_t>(size);
     }
-    return ::send(this->descriptor, data, size, MSG_NOSIGNAL | MSG_DONTWAIT);
-}
-
-void connection::get_remote_ip_and_port(std::string& ip, int& port) const
-{
-    read_address(::getpeername, this->descriptor, ip, port);
+    if (this->write_pace > 0)
+    {
+        size = paced_size(this->write_pace, size);
+        if (!this->sleep(std::chrono::milliseconds{1000 * size / this->write_pace}))
+        {
+            return -1;
+        }
+    }
+    return this->socket_stream::write(data, size);
 }
 
-void connection::get_local_ip_and_port(std::string& ip, int& port) const
+bool connection::wait_ready(short events) const
 {
-    read_address(::getsockname, this->descriptor, ip, port);
+    pollfd entry{.fd = this->socket(), .events = events, .revents = 0};
+    return poll_for(&entry, 1, transfer_timeout) > 0 && (entry.revents & (POLLERR | POLLNVAL)) == 0;
 }
 
 } // namespace laburnumreach::standin
--- a/packages/standin/src/loopback_server.cpp
+++ b/packages/standin/src/loopback_server.cpp
@@ -154,7 +154,10 @@
         ::close(descriptor);
         return tl::unexpected(cause);
     }
-    this->address.port = ntohs(bound.sin_port);
+    if (this->address.port == 0)
+    {
+        this->address.port = ntohs(bound.sin_port);
+    }
     return descriptor;
 }
 
@@ -236,6 +239,10 @@
 {
     context.caller = &caller;
     context.path = std::exchange(request.path, "/");
+    if (this->before_body)
+    {
+        this->before_body(context.path, caller);
+    }
     // A client that accepts compression would get answers that it can't compare byte by byte.
     request.headers.erase("Accept-Encoding");
     const bool has_length = request.has_header("Content-Length");
--- a/packages/standin/src/platform_standin.cpp
+++ b/packages/standin/src/platform_standin.cpp
@@ -214,7 +214,7 @@
         return;
     }
     // The delay precedes the effect, so that a slow platform also widens the window for conflicts.
-    current.caller.wait(this->faults.delay(current.identity));
+    current.caller.sleep(this->faults.delay(current.identity));
     if (is_watch)
     {
         this->watch(current);
