--- a/packages/platform/include/laburnumreach/platform/config_repository.hpp
+++ b/packages/platform/include/laburnumreach/platform/config_repository.hpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace laburnumreach::platform
@@ -42,14 +43,14 @@
     /// @returns the stored document; conflict when the current revision is not the expected one, in which
     /// case
     ///          nothing changed; unknown_fate when it cannot be told whether the update took effect
-    core::result<config::config_document> apply(std::string text, std::uint64_t expected_revision,
-                                                std::string operation_id)
+    core::result<config::config_document> apply(std::string_view text, std::uint64_t expected_revision,
+                                                std::string_view operation_id)
     {
         const auto current = this->store->get(config_object_name);
         write_condition condition;
         if (current)
         {
-            const auto document = this->accept(*current);
+            auto document = this->accept(*current);
             if (!document)
             {
                 return document;
@@ -69,8 +70,8 @@
             return conflict(expected_revision, 0);
         }
         return this->write(condition, {.revision = expected_revision + 1,
-                                       .operation_id = std::move(operation_id),
-                                       .text = std::move(text)});
+                                       .operation_id = std::string{operation_id},
+                                       .text = std::string{text}});
     }
 
     /// Waits for a document newer than the newest seen one.
