Compute the admission level from the whole offered demand

Cause: the level followed queueing time alone. Callers react to a level with a delay of about 0.3 s over four hops, so it oscillated between closed and open, and a drain of up to half the capacity cut into the critical classes. Change: every call carries the ratio of offered to admitted requests of its class at the entry gate, so that an exit daemon knows the demand that callers refuse. The level admits as many positions as the capacity allows; a class is only cut for the queue of its own and more important classes, and the minimum shares of the others are set aside. A nested call prefers instances whose level admits it.

--- a/packages/bench/policy/include/laburnumreach/policy_bench/node.hpp
+++ b/packages/bench/policy/include/laburnumreach/policy_bench/node.hpp
@@ -22,6 +22,7 @@
     core::time_point deadline;
     core::time_point end{};
     overload::admission_position position;
+    double offered_ratio = 1.0;
     std::size_t tenant = 0;
     bool shallow = false;
     bool closed = false;
--- a/packages/bench/policy/include/laburnumreach/policy_bench/simulation.hpp
+++ b/packages/bench/policy/include/laburnumreach/policy_bench/simulation.hpp
@@ -357,6 +357,10 @@
             call->done({.result = {core::outcome::not_run, chosen.why}, .feedback = {.own_level = level}});
             return;
         }
+        if (call->depth == 0)
+        {
+            request.offered_ratio = chosen.offered_ratio;
+        }
         node_type& target = *this->services[call->service][*chosen.instance];
         const core::duration latency =
             target.zone == call->caller_zone ? in_zone_latency : cross_zone_latency;
@@ -445,6 +449,7 @@
                             .tenant = static_cast<overload::tenant_id>(request.tenant),
                             .weight = this->setup.tenant_weights[request.tenant],
                             .position = request.position,
+                            .offered_ratio = request.offered_ratio,
                             .depth = call->depth},
                            request.deadline);
         if (result.evicted)
--- a/packages/overload/include/laburnumreach/overload/admission_control.hpp
+++ b/packages/overload/include/laburnumreach/overload/admission_control.hpp
@@ -3,6 +3,7 @@
 
 #include "laburnumreach/core/time.hpp"
 #include "laburnumreach/overload/admission_position.hpp"
+#include "laburnumreach/overload/share_guarantee.hpp"
 
 #include <array>
 #include <cstddef>
@@ -15,33 +16,43 @@
 {
     /// Interval between changes of the level.
     core::duration window = std::chrono::milliseconds{50};
-    /// Queueing time that the level holds under overload. It keeps the slots busy between two answers of a
-    /// caller; a longer queue only adds latency.
+    /// Queueing time above which the instance counts as overloaded, and which the level then holds. It keeps
+    /// the slots busy between two answers of a caller; a longer queue only adds latency.
     core::duration target_delay = std::chrono::milliseconds{20};
     /// Time in which a queue above the target is to be drained.
-    core::duration drain_time = std::chrono::milliseconds{200};
+    core::duration drain_time = std::chrono::milliseconds{500};
+    /// Same shares as at the queue and at the gates of the callers.
+    class_shares minimum_shares = default_minimum_shares;
+};
+
+/// State of an instance after an event.
+struct instance_load
+{
+    /// Waiting calls by class.
+    std::array<std::size_t, core::priority_class_count> waiting{};
+    /// Whether a further call could start at once.
+    bool has_room = true;
 };
 
 /// Admission level of one instance, computed at its exit daemon from queueing time. Not thread safe.
 ///
-/// The level follows from the observed demand by position: it admits as many positions as the instance can
-/// start calls. Demand of refused positions is remembered and fades, so that the level opens again quickly
-/// after the trigger ended.
+/// The level follows from the demand by position: it admits as many positions as the instance can start
+/// calls. The demand that callers refuse is known from the offered_ratio that every call carries, so that
+/// the level neither opens too far while the overload lasts nor stays closed after its end.
 class admission_control
 {
 public:
     explicit admission_control(const admission_options& admission = {}) : options(admission) {}
 
     /// Records a call that reached the exit daemon, whether it started, was queued or was refused.
-    void record_arrival(admission_position position);
+    /// @param offered_ratio calls of the class that were offered at the entry for each admitted one
+    void record_arrival(admission_position position, double offered_ratio);
 
     /// Records that a call started.
-    void record_start() { ++this->starts; }
+    void record_start() { this->starts += 1.0; }
 
     /// Records the state after an event and closes the observation window when it is over.
-    /// @param queue_length waiting calls
-    /// @param has_room whether a further call could start at once
-    void update(core::time_point now, std::size_t queue_length, bool has_room);
+    void update(core::time_point now, const instance_load& load);
 
     /// Returns the current level.
     admission_level level() const noexcept
@@ -49,31 +60,37 @@
         return static_cast<admission_level>(position_count - this->threshold);
     }
 
-    /// Returns the expected wait of a call that is queued now.
+    /// Returns the expected wait of a call that is queued now behind all others.
     core::duration queue_delay() const noexcept;
 
 private:
+    using class_values = std::array<double, core::priority_class_count>;
+
     void close_window(double seconds);
-    void learn_demand();
-    void lower_threshold(double admitted);
-    void raise_threshold(double extra, std::size_t least_positions);
+    void learn_demand(double seconds);
+    void learn_capacity(double seconds);
+    void set_threshold();
+    /// Returns the rate of calls that may be admitted up to and including a class.
+    double bound(std::size_t cls) const;
+    double hidden_demand(std::size_t cls) const;
 
     admission_options options;
-    /// Arrivals of the current window and their smoothed value, by position.
     std::array<double, position_count> arrivals{};
-    std::array<double, position_count> demand{};
+    std::array<double, position_count> demand{}; ///< Per second, smoothed.
+    class_values offered{};                      ///< In this window, including calls refused by callers.
+    class_values offered_rate{};                 ///< Per second, smoothed.
     /// First refused position.
     std::size_t threshold = position_count;
 
     core::time_point window_begin{};
     core::time_point last_update{};
-    std::size_t last_queue_length = 0;
-    bool last_has_room = true;
-    double queue_seconds = 0.0; ///< Integral of the queue length over time.
+    instance_load last_load;
+    class_values waiting_seconds{}; ///< Integrals of the waiting calls over time.
+    class_values delay{};           ///< Queueing time in seconds of the calls up to and including a class.
     double idle_seconds = 0.0;
     double starts = 0.0;
-    double start_rate = 0.0; ///< Per second, smoothed.
-    double visible_scale = 1.0;
+    double capacity = 0.0;   ///< Starts per second.
+    bool overloaded = false; ///< Whether the level follows the demand.
 };
 
 } // namespace laburnumreach::overload
--- a/packages/overload/include/laburnumreach/overload/admission_gate.hpp
+++ b/packages/overload/include/laburnumreach/overload/admission_gate.hpp
@@ -7,6 +7,7 @@
 #include "laburnumreach/overload/aged_level.hpp"
 #include "laburnumreach/overload/share_guarantee.hpp"
 
+#include <array>
 #include <cstdint>
 
 namespace laburnumreach::overload
@@ -52,12 +53,24 @@
     decision admit(core::time_point now, admission_position position, admission_level service_level,
                    core::random_source& random);
 
+    /// Returns how many calls of a class were offered lately for each admitted one, at least 1.
+    double offered_ratio(core::priority_class cls) const noexcept;
+
 private:
+    /// Decayed counts of one class.
+    struct class_counts
+    {
+        double offered = 0.0;
+        double admitted = 0.0;
+        core::time_point updated{};
+    };
+
     bool owed_minimum_share(admission_position position) const noexcept;
     bool probe_due(core::time_point now, core::random_source& random);
 
     aged_level dependencies;
     share_guarantee guarantee;
+    std::array<class_counts, core::priority_class_count> counts{};
     core::time_point last_probe{};
 };
 
--- a/packages/overload/include/laburnumreach/overload/destination.hpp
+++ b/packages/overload/include/laburnumreach/overload/destination.hpp
@@ -41,6 +41,9 @@
     /// No value when the call is refused with outcome not_run.
     std::optional<instance_id> instance;
     core::reason why = core::reason::none;
+    /// Requests of the class that were offered here for each admitted one. Set for requests from outside; it
+    /// travels with the request and its nested calls, and tells every exit daemon the whole demand.
+    double offered_ratio = 1.0;
 };
 
 /// What a caller knows about one called service: its instances, admission gates and retry budget.
--- a/packages/overload/include/laburnumreach/overload/instance_selector.hpp
+++ b/packages/overload/include/laburnumreach/overload/instance_selector.hpp
@@ -52,6 +52,16 @@
     cancelled,      ///< By this daemon's caller; says nothing about the instance.
 };
 
+/// A call for which an instance is picked.
+struct pick_request
+{
+    admission_position position;
+    /// Whether an instance whose level refuses the position is taken when no other one is left.
+    bool over_level = false;
+    /// Instance that failed the previous attempt; taken only when there is no other one.
+    std::optional<instance_id> failed_instance{};
+};
+
 /// Picks an instance of one service for each call: the better one of two random candidates by own calls in
 /// flight and observed latency. Not thread safe.
 class instance_selector
@@ -66,14 +76,11 @@
     /// Removes an instance; calls in flight may still be finished.
     void remove_instance(instance_id id);
 
-    /// Picks an instance and counts the call as in flight.
-    /// @param position only instances that admit it are candidates; no value for calls that are admitted
-    /// regardless of level
-    /// @param exclude instance that failed the previous attempt; taken only when there is no other one
+    /// Picks an instance and counts the call as in flight. Instances in the zone whose level admits the call
+    /// come first, then those of other zones.
     /// @param why set to overloaded or no_instance when no value is returned
-    std::optional<instance_id> pick(core::time_point now, std::optional<admission_position> position,
-                                    std::optional<instance_id> exclude, core::random_source& random,
-                                    core::reason& why);
+    std::optional<instance_id> pick(core::time_point now, const pick_request& request,
+                                    core::random_source& random, core::reason& why);
 
     /// Records the end of a call.
     /// @param latency from sending to the answer, less the time that nested calls took if known
@@ -110,6 +117,8 @@
         core::time_point queue_end{};
     };
 
+    void collect(core::time_point now, const pick_request& request, bool same_zone, bool over_level,
+                 bool failed);
     instance* find(instance_id id);
     const instance* find(instance_id id) const;
     bool usable(core::time_point now, const instance& candidate) const;
--- a/packages/overload/include/laburnumreach/overload/queued_call.hpp
+++ b/packages/overload/include/laburnumreach/overload/queued_call.hpp
@@ -19,6 +19,8 @@
     /// Greater than zero.
     double weight = 1.0;
     admission_position position;
+    /// From destination::choose at the entry daemon; travels with the request.
+    double offered_ratio = 1.0;
     /// Zero for a request from outside; higher for a nested call, whose callers already did work.
     std::uint32_t depth = 0;
     /// Deadline less the expected service time.
--- a/packages/overload/src/admission_control.cpp
+++ b/packages/overload/src/admission_control.cpp
@@ -1,6 +1,7 @@
 #include "laburnumreach/overload/admission_control.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace laburnumreach::overload
 {
@@ -8,22 +9,21 @@
 namespace
 {
 
-/// Weight of one window in the smoothed demand of a position.
+/// Weight of one window in the smoothed demand. Demand of the boundary between admitted and refused positions
+/// lags by the time that callers need to learn of a level, so faster smoothing makes the level oscillate.
 constexpr double demand_weight = 0.2;
-/// Factor on the demand remembered for refused positions, for each window; half is forgotten in 0.25 s.
-constexpr double hidden_decay = 0.87;
-constexpr double rate_weight = 0.5;
-/// Share of idle time from which the instance is taken as not overloaded any more.
-constexpr double idle_share = 0.05;
-/// Idle share from which the level opens without regard to remembered demand.
-constexpr double mostly_idle_share = 0.25;
-/// Part of the refused positions that one window may open while the instance is mostly idle. It opens the
-/// gate fully within half of the 1 s recovery target.
-constexpr double fast_open_part = 0.35;
-/// Part of the start rate by which one window opens while the instance is busy with a short queue.
-constexpr double probe_part = 0.02;
-/// Largest part of the start rate that is given up to drain the queue.
-constexpr double max_drain_part = 0.5;
+/// Weight of a window in the capacity while the instance is busy.
+constexpr double capacity_weight = 0.2;
+/// Idle share of a window up to which the rate of starts shows the capacity.
+constexpr double busy_share = 0.05;
+/// Growth of the assumed capacity in a window in which the instance was idle. Four times the capacity are
+/// reached in 0.75 s, within the recovery target of 1 s.
+constexpr double idle_growth = 1.1;
+/// Largest part of the capacity that is given up to drain the queue of a class. Callers react with a delay of
+/// several windows, and a larger part makes the level oscillate.
+constexpr double max_drain_part = 0.3;
+/// Part by which the admitted demand exceeds the capacity while the queue is short, to keep the slots busy.
+constexpr double short_queue_part = 0.03;
 
 double seconds_of(core::duration value)
 {
@@ -32,25 +32,27 @@
 
 } // namespace
 
-void admission_control::record_arrival(admission_position position)
+void admission_control::record_arrival(admission_position position, double offered_ratio)
 {
     this->arrivals[position.index()] += 1.0;
+    this->offered[static_cast<std::size_t>(position.cls)] += std::max(offered_ratio, 1.0);
 }
 
 core::duration admission_control::queue_delay() const noexcept
 {
-    if (this->last_queue_length == 0)
+    const auto& waiting = this->last_load.waiting;
+    const auto length = static_cast<double>(std::accumulate(waiting.begin(), waiting.end(), std::size_t{0}));
+    if (length == 0.0)
     {
         return core::duration::zero();
     }
     // Before the first window there is no rate; one window is the best known bound.
-    const double seconds = this->start_rate > 0.0
-                               ? static_cast<double>(this->last_queue_length) / this->start_rate
-                               : seconds_of(this->options.window);
-    return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(std::min(seconds, 60.0)));
+    const double seconds =
+        this->capacity > 0.0 ? std::min(length / this->capacity, 60.0) : seconds_of(this->options.window);
+    return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(seconds));
 }
 
-void admission_control::update(core::time_point now, std::size_t queue_length, bool has_room)
+void admission_control::update(core::time_point now, const instance_load& load)
 {
     if (this->window_begin == core::time_point{})
     {
@@ -58,11 +60,13 @@
         this->last_update = now;
     }
     const double elapsed = seconds_of(now - this->last_update);
-    this->queue_seconds += elapsed * static_cast<double>(this->last_queue_length);
-    this->idle_seconds += this->last_has_room && this->last_queue_length == 0 ? elapsed : 0.0;
+    for (std::size_t i = 0; i < this->waiting_seconds.size(); ++i)
+    {
+        this->waiting_seconds[i] += elapsed * static_cast<double>(this->last_load.waiting[i]);
+    }
+    this->idle_seconds += this->last_load.has_room ? elapsed : 0.0;
     this->last_update = now;
-    this->last_queue_length = queue_length;
-    this->last_has_room = has_room;
+    this->last_load = load;
     if (now - this->window_begin >= this->options.window)
     {
         this->close_window(seconds_of(now - this->window_begin));
@@ -72,87 +76,116 @@
 
 void admission_control::close_window(double seconds)
 {
-    const double rate = this->starts / seconds;
-    this->start_rate =
-        this->start_rate == 0.0 ? rate : this->start_rate + rate_weight * (rate - this->start_rate);
-    const double idle = this->idle_seconds / seconds;
-    const double queue = this->queue_seconds / seconds;
-    const double delay = this->start_rate > 0.0 ? queue / this->start_rate : queue > 0.0 ? seconds : 0.0;
-    const double target = seconds_of(this->options.target_delay);
-    this->learn_demand();
-    if (delay > target)
+    this->learn_capacity(seconds);
+    this->learn_demand(seconds);
+    double queue = 0.0;
+    for (std::size_t i = 0; i < this->delay.size(); ++i)
     {
-        const double drain =
-            std::min((delay - target) / seconds_of(this->options.drain_time), max_drain_part);
-        this->lower_threshold(this->start_rate * seconds * (1.0 - drain));
+        queue += this->waiting_seconds[i] / seconds;
+        this->delay[i] = this->capacity > 0.0 ? queue / this->capacity : queue > 0.0 ? seconds : 0.0;
     }
-    else if (idle > idle_share)
+    if (this->delay.back() > seconds_of(this->options.target_delay))
     {
-        const std::size_t refused = position_count - this->threshold;
-        const std::size_t most =
-            idle > mostly_idle_share
-                ? 4 + static_cast<std::size_t>(fast_open_part * static_cast<double>(refused))
-                : 1;
-        this->raise_threshold(idle * this->start_rate * seconds, most);
+        this->overloaded = true;
     }
-    else if (delay < target / 2.0)
+    if (this->overloaded)
     {
-        this->raise_threshold(probe_part * this->start_rate * seconds, 1);
+        this->set_threshold();
     }
     this->arrivals.fill(0.0);
+    this->offered.fill(0.0);
+    this->waiting_seconds.fill(0.0);
     this->starts = 0.0;
-    this->queue_seconds = 0.0;
     this->idle_seconds = 0.0;
 }
 
-void admission_control::learn_demand()
+void admission_control::learn_capacity(double seconds)
+{
+    const double rate = this->starts / seconds;
+    const double idle = this->idle_seconds / seconds;
+    if (this->capacity == 0.0)
+    {
+        this->capacity = rate;
+    }
+    else if (idle <= busy_share)
+    {
+        this->capacity += capacity_weight * (rate - this->capacity);
+    }
+    else
+    {
+        const double grown = this->capacity * (1.0 + (idle_growth - 1.0) * idle);
+        // Without overload the capacity is only known to be at least the highest rate so far.
+        this->capacity = this->overloaded ? std::max(grown, rate) : std::max(this->capacity, rate);
+    }
+}
+
+void admission_control::learn_demand(double seconds)
 {
-    double seen = 0.0;
-    double expected = 0.0;
     for (std::size_t i = 0; i < position_count; ++i)
     {
-        if (i < this->threshold)
-        {
-            this->demand[i] += demand_weight * (this->arrivals[i] - this->demand[i]);
-            seen += this->arrivals[i];
-            expected += this->demand[i];
-        }
-        else
-        {
-            this->demand[i] = std::max(this->demand[i] * hidden_decay, this->arrivals[i]);
-        }
+        this->demand[i] += demand_weight * (this->arrivals[i] / seconds - this->demand[i]);
+    }
+    for (std::size_t i = 0; i < this->offered.size(); ++i)
+    {
+        this->offered_rate[i] += demand_weight * (this->offered[i] / seconds - this->offered_rate[i]);
     }
-    // The smoothed demand gives the shape, the last window the amount, so that a surge is seen at once.
-    this->visible_scale = expected > 0.0 ? seen / expected : 1.0;
 }
 
-void admission_control::lower_threshold(double admitted)
+double admission_control::bound(std::size_t cls) const
 {
-    double sum = 0.0;
-    for (std::size_t i = 0; i < this->threshold; ++i)
+    double reserved = 0.0;
+    for (std::size_t i = cls + 1; i < this->offered_rate.size(); ++i)
     {
-        sum += this->demand[i] * this->visible_scale;
-        if (sum > admitted)
-        {
-            this->threshold = i;
-            return;
-        }
+        reserved += std::min(this->options.minimum_shares[i] * this->capacity, this->offered_rate[i]);
+    }
+    const double target = seconds_of(this->options.target_delay);
+    const double wait = this->delay[cls];
+    double part = 1.0;
+    if (wait > target)
+    {
+        part -= std::min((wait - target) / seconds_of(this->options.drain_time), max_drain_part);
+    }
+    else if (this->delay.back() < target / 2.0)
+    {
+        part += short_queue_part;
+    }
+    return (this->capacity - reserved) * part;
+}
+
+double admission_control::hidden_demand(std::size_t cls) const
+{
+    double seen = 0.0;
+    for (std::size_t i = cls * bucket_count; i < std::min((cls + 1) * bucket_count, this->threshold); ++i)
+    {
+        seen += this->demand[i];
     }
+    return std::max(this->offered_rate[cls] - seen, 0.0);
 }
 
-void admission_control::raise_threshold(double extra, std::size_t least_positions)
+void admission_control::set_threshold()
 {
-    const std::size_t least = std::min(this->threshold + least_positions, position_count);
     double sum = 0.0;
-    while (this->threshold < position_count)
+    for (std::size_t cls = 0; cls < core::priority_class_count; ++cls)
     {
-        sum += this->demand[this->threshold];
-        if (sum > extra && this->threshold >= least)
+        const double most = this->bound(cls);
+        const std::size_t begin = cls * bucket_count;
+        const std::size_t end = begin + bucket_count;
+        const std::size_t first_hidden = std::clamp(this->threshold, begin, end);
+        // The distribution of the refused calls within a class is not known and taken as even.
+        const double hidden =
+            first_hidden < end ? this->hidden_demand(cls) / static_cast<double>(end - first_hidden) : 0.0;
+        for (std::size_t i = begin; i < end; ++i)
         {
-            return;
+            sum += i < first_hidden ? this->demand[i] : hidden;
+            if (sum > most)
+            {
+                this->threshold = i;
+                return;
+            }
         }
-        ++this->threshold;
     }
+    this->threshold = position_count;
+    this->overloaded = false;
 }
 
 } // namespace laburnumreach::overload
--- a/packages/overload/src/admission_gate.cpp
+++ b/packages/overload/src/admission_gate.cpp
@@ -1,6 +1,7 @@
 #include "laburnumreach/overload/admission_gate.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace laburnumreach::overload
 {
@@ -12,6 +13,10 @@
 /// tenants within their share as long as these use it up.
 constexpr double last_bucket_credit = share_guarantee::max_credit - 1.0;
 
+/// Time in which the counts behind the offered ratio fall by half; it bounds how long a surge is still
+/// reported after its end.
+constexpr core::duration ratio_half_life = std::chrono::milliseconds{100};
+
 } // namespace
 
 bool admission_gate::owed_minimum_share(admission_position position) const noexcept
@@ -34,13 +39,26 @@
                                                admission_level service_level, core::random_source& random)
 {
     const admission_level level = std::max(service_level, this->dependency_level(now));
+    class_counts& own = this->counts[static_cast<std::size_t>(position.cls)];
+    const double decay = std::exp2(-std::chrono::duration<double>(now - own.updated) /
+                                   std::chrono::duration<double>(ratio_half_life));
+    own.updated = now;
+    own.offered = own.offered * decay + 1.0;
+    own.admitted *= decay;
     const bool within = position.admitted_by(level);
     if (!within && !this->owed_minimum_share(position) && !this->probe_due(now, random))
     {
         return decision::refused;
     }
+    own.admitted += 1.0;
     this->guarantee.admitted(position.cls);
     return within ? decision::admitted : decision::admitted_over_level;
 }
 
+double admission_gate::offered_ratio(core::priority_class cls) const noexcept
+{
+    const class_counts& own = this->counts[static_cast<std::size_t>(cls)];
+    return own.admitted > 0.0 ? std::max(own.offered / own.admitted, 1.0) : 1.0;
+}
+
 } // namespace laburnumreach::overload
--- a/packages/overload/src/destination.cpp
+++ b/packages/overload/src/destination.cpp
@@ -5,35 +5,47 @@
 namespace laburnumreach::overload
 {
 
+namespace
+{
+
+choice refusal(core::reason why)
+{
+    choice result;
+    result.why = why;
+    return result;
+}
+
+} // namespace
+
 choice destination::choose(core::time_point now, const outgoing_call& call, core::random_source& random)
 {
-    std::optional<admission_position> position;
+    pick_request request{
+        .position = call.position, .over_level = true, .failed_instance = call.failed_instance};
     if (call.depth > 0)
     {
         if (this->selector.queue_delay(now) >= call.remaining)
         {
-            return {.instance = std::nullopt, .why = core::reason::deadline_unmeetable};
+            return refusal(core::reason::deadline_unmeetable);
         }
     }
     else if (!call.retry)
     {
         admission_gate& gate = this->gates[call.dependencies];
         const admission_level own = this->selector.level(now);
-        switch (gate.admit(now, call.position, own, random))
+        const admission_gate::decision decision = gate.admit(now, call.position, own, random);
+        if (decision == admission_gate::decision::refused)
         {
-        case admission_gate::decision::refused:
-            return {.instance = std::nullopt,
-                    .why = call.position.admitted_by(own) ? core::reason::downstream_overloaded
-                                                          : core::reason::overloaded};
-        case admission_gate::decision::admitted:
-            position = call.position;
-            break;
-        case admission_gate::decision::admitted_over_level:
-            break;
+            return refusal(call.position.admitted_by(own) ? core::reason::downstream_overloaded
+                                                          : core::reason::overloaded);
         }
+        request.over_level = decision == admission_gate::decision::admitted_over_level;
     }
     choice result;
-    result.instance = this->selector.pick(now, position, call.failed_instance, random, result.why);
+    if (call.depth == 0)
+    {
+        result.offered_ratio = this->gates[call.dependencies].offered_ratio(call.position.cls);
+    }
+    result.instance = this->selector.pick(now, request, random, result.why);
     return result;
 }
 
--- a/packages/overload/src/exit_control.cpp
+++ b/packages/overload/src/exit_control.cpp
@@ -10,7 +10,13 @@
 
 void exit_control::update(core::time_point now)
 {
-    this->admission.update(now, this->queue.size(), this->limit.has_room());
+    instance_load load;
+    for (std::size_t i = 0; i < load.waiting.size(); ++i)
+    {
+        load.waiting[i] = this->queue.size(static_cast<core::priority_class>(i));
+    }
+    load.has_room = this->limit.has_room();
+    this->admission.update(now, load);
 }
 
 submit_result exit_control::submit(core::time_point now, queued_call call, core::time_point deadline)
@@ -18,7 +24,7 @@
     const core::duration service = this->expected[static_cast<std::size_t>(call.position.cls)].expected(now);
     call.latest_start = deadline - service;
     call.enqueued = now;
-    this->admission.record_arrival(call.position);
+    this->admission.record_arrival(call.position, call.offered_ratio);
     submit_result result;
     if (call.latest_start < now)
     {
--- a/packages/overload/src/instance_selector.cpp
+++ b/packages/overload/src/instance_selector.cpp
@@ -105,34 +105,37 @@
     return (candidate.in_flight + 1.0) / this->effective_slots(now, candidate) * relative;
 }
 
-std::optional<instance_id> instance_selector::pick(core::time_point now,
-                                                   std::optional<admission_position> position,
-                                                   std::optional<instance_id> exclude,
-                                                   core::random_source& random, core::reason& why)
+void instance_selector::collect(core::time_point now, const pick_request& request, bool same_zone,
+                                bool over_level, bool failed)
 {
-    this->started = true;
-    const auto collect = [&](bool same_zone, bool allow_excluded)
+    for (std::size_t i = 0; i < this->instances.size(); ++i)
     {
-        for (std::size_t i = 0; i < this->instances.size(); ++i)
+        const instance& candidate = this->instances[i];
+        const bool level_allows = over_level || request.position.admitted_by(candidate.level.value(now));
+        const bool failed_before = request.failed_instance == candidate.info.id;
+        if (candidate.info.same_zone == same_zone && level_allows && (failed || !failed_before) &&
+            this->usable(now, candidate) && !this->saturated(now, candidate))
         {
-            const instance& candidate = this->instances[i];
-            const bool shedding = position && !position->admitted_by(candidate.level.value(now));
-            const bool excluded = !allow_excluded && exclude == candidate.info.id;
-            if (candidate.info.same_zone == same_zone && !excluded && !shedding &&
-                this->usable(now, candidate) && !this->saturated(now, candidate))
-            {
-                this->candidates.push_back(i);
-            }
+            this->candidates.push_back(i);
         }
-    };
+    }
+}
+
+std::optional<instance_id> instance_selector::pick(core::time_point now, const pick_request& request,
+                                                   core::random_source& random, core::reason& why)
+{
+    this->started = true;
     this->candidates.clear();
-    for (const bool allow_excluded : {false, true})
+    for (const bool failed : {false, true})
     {
-        for (const bool same_zone : {true, false})
+        for (const bool over_level : {false, true})
         {
-            if (this->candidates.empty())
+            for (const bool same_zone : {true, false})
             {
-                collect(same_zone, allow_excluded);
+                if (this->candidates.empty() && (!over_level || request.over_level))
+                {
+                    this->collect(now, request, same_zone, over_level, failed);
+                }
             }
         }
     }
--- a/packages/overload/src/naive_destination.cpp
+++ b/packages/overload/src/naive_destination.cpp
@@ -28,10 +28,14 @@
         this->next = (this->next + 1) % this->instances.size();
         if (!candidate.draining)
         {
-            return {.instance = candidate.id, .why = core::reason::none};
+            choice result;
+            result.instance = candidate.id;
+            return result;
         }
     }
-    return {.instance = std::nullopt, .why = core::reason::no_instance};
+    choice none;
+    none.why = core::reason::no_instance;
+    return none;
 }
 
 } // namespace laburnumreach::overload
