Use the mean level of a service at the gate and fewer probes

Cause: the gate used the lowest level of all instances and admitted what only one of them had room for, and three gates sent 30 probes per second although calls for minimum shares serve the same purpose. Change: the level of a service is the mean by slots, or zero while any usable instance is not overloaded; probes are sent only when no call went over the level for 100 ms; offered demand is forgotten faster while idle.

--- a/packages/overload/include/laburnumreach/overload/admission_gate.hpp
+++ b/packages/overload/include/laburnumreach/overload/admission_gate.hpp
@@ -19,7 +19,8 @@
 class admission_gate
 {
 public:
-    /// Share of refused calls that is sent as probes, and the shortest interval between two probes.
+    /// Share of refused calls that is sent as probes, and the time without a call over the level before a
+    /// probe is sent. Calls for the minimum share of a class serve as probes, too.
     static constexpr double probe_share = 0.01;
     static constexpr core::duration probe_interval = std::chrono::milliseconds{100};
 
@@ -71,7 +72,7 @@
     aged_level dependencies;
     share_guarantee guarantee;
     std::array<class_counts, core::priority_class_count> counts{};
-    core::time_point last_probe{};
+    core::time_point last_over_level{};
 };
 
 } // namespace laburnumreach::overload
--- a/packages/overload/include/laburnumreach/overload/instance_selector.hpp
+++ b/packages/overload/include/laburnumreach/overload/instance_selector.hpp
@@ -90,7 +90,9 @@
     /// Records the feedback of an answer.
     void record(core::time_point now, instance_id id, const load_feedback& feedback);
 
-    /// Returns the level at which the whole service refuses: the lowest of the usable instances.
+    /// Returns the level of the whole service: zero while any usable instance is not overloaded, and
+    /// otherwise the mean by slots. The lowest level would admit what only one of several instances has room
+    /// for.
     admission_level level(core::time_point now) const;
 
     /// Returns the shortest expected wait that the usable instances reported, less the time since then.
--- a/packages/overload/src/admission_control.cpp
+++ b/packages/overload/src/admission_control.cpp
@@ -12,6 +12,10 @@
 /// Weight of one window in the smoothed demand. Demand of the boundary between admitted and refused positions
 /// lags by the time that callers need to learn of a level, so faster smoothing makes the level oscillate.
 constexpr double demand_weight = 0.2;
+/// Weight for the offered demand while the instance is idle for at least idle_share of a window: the overload
+/// has probably ended.
+constexpr double idle_demand_weight = 0.4;
+constexpr double idle_share = 0.25;
 /// Weight of a window in the capacity while the instance is busy.
 constexpr double capacity_weight = 0.2;
 /// Idle share of a window up to which the rate of starts shows the capacity.
@@ -125,9 +129,11 @@
     {
         this->demand[i] += demand_weight * (this->arrivals[i] / seconds - this->demand[i]);
     }
+    const bool idle = this->idle_seconds > idle_share * seconds;
     for (std::size_t i = 0; i < this->offered.size(); ++i)
     {
-        this->offered_rate[i] += demand_weight * (this->offered[i] / seconds - this->offered_rate[i]);
+        this->offered_rate[i] += (idle ? idle_demand_weight : demand_weight) *
+                                 (this->offered[i] / seconds - this->offered_rate[i]);
     }
 }
 
--- a/packages/overload/src/admission_gate.cpp
+++ b/packages/overload/src/admission_gate.cpp
@@ -27,12 +27,7 @@
 
 bool admission_gate::probe_due(core::time_point now, core::random_source& random)
 {
-    if (now - this->last_probe < probe_interval || !random.chance(probe_share))
-    {
-        return false;
-    }
-    this->last_probe = now;
-    return true;
+    return now - this->last_over_level >= probe_interval && random.chance(probe_share);
 }
 
 admission_gate::decision admission_gate::admit(core::time_point now, admission_position position,
@@ -51,6 +46,7 @@
         return decision::refused;
     }
     own.admitted += 1.0;
+    this->last_over_level = within ? this->last_over_level : now;
     this->guarantee.admitted(position.cls);
     return within ? decision::admitted : decision::admitted_over_level;
 }
--- a/packages/overload/src/instance_selector.cpp
+++ b/packages/overload/src/instance_selector.cpp
@@ -220,16 +220,23 @@
 
 admission_level instance_selector::level(core::time_point now) const
 {
-    std::optional<admission_level> lowest;
+    double sum = 0.0;
+    double slots = 0.0;
     for (const instance& candidate : this->instances)
     {
         if (this->usable(now, candidate))
         {
+            const double share = this->effective_slots(now, candidate);
             const admission_level own = candidate.level.value(now);
-            lowest = lowest ? std::min(*lowest, own) : own;
+            if (own == 0)
+            {
+                return 0;
+            }
+            sum += share * own;
+            slots += share;
         }
     }
-    return lowest.value_or(0);
+    return slots > 0.0 ? static_cast<admission_level>(sum / slots) : admission_level{0};
 }
 
 core::duration instance_selector::queue_delay(core::time_point now) const
