--- a/packages/overload/include/laburnumreach/overload/admission_gate.hpp
+++ b/packages/overload/include/laburnumreach/overload/admission_gate.hpp
@@ -7,6 +7,7 @@
 #include "laburnumreach/overload/aged_level.hpp"
 #include "laburnumreach/overload/share_guarantee.hpp"
 
+#include <array>
 #include <cstdint>
 
 namespace laburnumreach::overload
@@ -18,7 +19,8 @@
 class admission_gate
 {
 public:
-    /// Share of refused calls that is sent as probes, and the shortest interval between two probes.
+    /// Share of refused calls that is sent as probes, and the time without a call over the level before a
+    /// probe is sent. Calls for the minimum share of a class serve as probes, too.
     static constexpr double probe_share = 0.01;
     static constexpr core::duration probe_interval = std::chrono::milliseconds{100};
 
@@ -52,13 +54,25 @@
     decision admit(core::time_point now, admission_position position, admission_level service_level,
                    core::random_source& random);
 
+    /// Returns how many calls of a class were offered lately for each admitted one, at least 1.
+    double offered_ratio(core::priority_class cls) const noexcept;
+
 private:
+    /// Decayed counts of one class.
+    struct class_counts
+    {
+        double offered = 0.0;
+        double admitted = 0.0;
+        core::time_point updated{};
+    };
+
     bool owed_minimum_share(admission_position position) const noexcept;
     bool probe_due(core::time_point now, core::random_source& random);
 
     aged_level dependencies;
     share_guarantee guarantee;
-    core::time_point last_probe{};
+    std::array<class_counts, core::priority_class_count> counts{};
+    core::time_point last_over_level{};
 };
 
 } // namespace laburnumreach::overload
--- a/packages/overload/src/admission_gate.cpp
+++ b/packages/overload/src/admission_gate.cpp
@@ -1,6 +1,7 @@
 #include "laburnumreach/overload/admission_gate.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace laburnumreach::overload
 {
@@ -12,6 +13,10 @@
 /// tenants within their share as long as these use it up.
 constexpr double last_bucket_credit = share_guarantee::max_credit - 1.0;
 
+/// Time in which the counts behind the offered ratio fall by half; it bounds how long a surge is still
+/// reported after its end.
+constexpr core::duration ratio_half_life = std::chrono::milliseconds{100};
+
 } // namespace
 
 bool admission_gate::owed_minimum_share(admission_position position) const noexcept
@@ -22,25 +27,34 @@
 
 bool admission_gate::probe_due(core::time_point now, core::random_source& random)
 {
-    if (now - this->last_probe < probe_interval || !random.chance(probe_share))
-    {
-        return false;
-    }
-    this->last_probe = now;
-    return true;
+    return now - this->last_over_level >= probe_interval && random.chance(probe_share);
 }
 
 admission_gate::decision admission_gate::admit(core::time_point now, admission_position position,
                                                admission_level service_level, core::random_source& random)
 {
     const admission_level level = std::max(service_level, this->dependency_level(now));
+    class_counts& own = this->counts[static_cast<std::size_t>(position.cls)];
+    const double decay = std::exp2(-std::chrono::duration<double>(now - own.updated) /
+                                   std::chrono::duration<double>(ratio_half_life));
+    own.updated = now;
+    own.offered = own.offered * decay + 1.0;
+    own.admitted *= decay;
     const bool within = position.admitted_by(level);
     if (!within && !this->owed_minimum_share(position) && !this->probe_due(now, random))
     {
         return decision::refused;
     }
+    own.admitted += 1.0;
+    this->last_over_level = within ? this->last_over_level : now;
     this->guarantee.admitted(position.cls);
     return within ? decision::admitted : decision::admitted_over_level;
 }
 
+double admission_gate::offered_ratio(core::priority_class cls) const noexcept
+{
+    const class_counts& own = this->counts[static_cast<std::size_t>(cls)];
+    return own.admitted > 0.0 ? std::max(own.offered / own.admitted, 1.0) : 1.0;
+}
+
 } // namespace laburnumreach::overload
