Stop writing the zone record after a handover

A second fault: a handover that arrived before the zone record was read crashed the receiver. Ruled out: the promises and the lease terms, which held in the trace. Change: no platform calls after a handover; a handover is accepted only when all revisions that it lists are known.

--- a/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
@@ -115,6 +115,7 @@
     void name_successor(core::time_point now);
     void receive_promise(core::time_point now, const quota::promise_answer& answer);
     void receive_handover(core::time_point now, const quota::handover& message, outbox& out);
+    bool knows_revisions(const quota::handover& message) const;
     void collect(quota::lender::output messages, outbox& out) const;
     outgoing_quota_message handover_message() const;
     std::vector<platform::listed_revision> listed_revisions() const;
@@ -142,6 +143,7 @@
     /// The record still names the daemon that handed over, until the first own write.
     bool inherited = false;
     bool candidate = false;
+    bool handed_over = false;
     bool stopping = false;
 };
 
--- a/packages/daemon/src/zone_keeper.cpp
+++ b/packages/daemon/src/zone_keeper.cpp
@@ -135,6 +135,11 @@
 
 std::optional<platform::zone_call> zone_keeper::next_platform_call(core::time_point now)
 {
+    if (this->handed_over)
+    {
+        // A renewal after the handover could name another successor, and so take the role from the receiver.
+        return std::nullopt;
+    }
     const std::optional<platform::zone_call> call = this->lease.poll(now, this->random);
     if (!call || call->type == platform::zone_call::kind::read)
     {
@@ -392,6 +397,11 @@
 void zone_keeper::receive_handover(core::time_point now, const quota::handover& message, outbox& out)
 {
     const protocol::handover_receipt receipt{.zone = message.zone, .epoch = message.epoch};
+    if (!this->knows_revisions(message))
+    {
+        // The sender repeats the handover until the zone record has been read here.
+        return;
+    }
     if (const auto accepted = this->promise.accept(message))
     {
         this->authority.emplace(quota::lender_authority::from_handover(
@@ -409,6 +419,23 @@
     }
 }
 
+bool zone_keeper::knows_revisions(const quota::handover& message) const
+{
+    const std::optional<platform::zone_record>& record = this->lease.record();
+    if (!record)
+    {
+        return false;
+    }
+    const auto listed = [&](std::uint64_t number)
+    {
+        const auto same = [number](const platform::listed_revision& entry)
+        { return entry.revision == number; };
+        return std::any_of(record->revisions.begin(), record->revisions.end(), same) ||
+               this->zones_by_revision.contains(number);
+    };
+    return std::all_of(message.revisions.begin(), message.revisions.end(), listed);
+}
+
 zone_keeper::outbox zone_keeper::stop(core::time_point now)
 {
     outbox out;
@@ -425,6 +452,7 @@
     }
     if (this->sent_handover)
     {
+        this->handed_over = true;
         this->authority->describe(*this->sent_handover);
         this->next_handover_at = now + handover_interval;
         out.push_back(this->handover_message());
