Release a promise only to the lender it was given to last

Cause: a successor that had taken the role over and lost it again released its right, on a graceful stop, to the lender that it had promised to before. Change: no release when the newest epoch is not that of the last promise.

--- a/packages/quota/src/successor_promise.cpp
+++ b/packages/quota/src/successor_promise.cpp
@@ -46,10 +46,13 @@
         return std::nullopt;
     }
     this->state = role::released;
-    if (this->last_answer)
+    if (!this->last_answer || this->last_answer->epoch != this->newest_epoch)
     {
-        this->last_answer->for_good = true;
+        // This daemon took the role over since it answered. A release would give the lender of then, which
+        // may not know yet that it lost the record, its authority back.
+        return std::nullopt;
     }
+    this->last_answer->for_good = true;
     return this->last_answer;
 }
 
