--- a/packages/standin/include/laburnumreach/standin/dependency_calls.hpp
+++ b/packages/standin/include/laburnumreach/standin/dependency_calls.hpp
@@ -3,12 +3,10 @@
 
 #include "laburnumreach/core/error.hpp"
 #include "laburnumreach/core/time.hpp"
+#include "laburnumreach/standin/client_pool.hpp"
 #include "laburnumreach/standin/connection.hpp"
-#include "laburnumreach/standin/local_client.hpp"
 #include "laburnumreach/standin/loopback_address.hpp"
 
-#include <memory>
-#include <mutex>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,7 +63,7 @@
     };
 
     /// @param rules the longest matching prefix applies
-    dependency_calls(loopback_address daemon, std::vector<dependency_rule> rules);
+    dependency_calls(const loopback_address& daemon, std::vector<dependency_rule> rules);
 
     /// Makes the calls for a request one after the other until one fails.
     /// @param path of the request
@@ -75,13 +73,9 @@
 private:
     result run_one(const dependency_rule::target& target, const std::string& number, const context& request,
                    core::time_point deadline, const connection& caller);
-    std::unique_ptr<local_client> take_client();
-    void give_back(std::unique_ptr<local_client> client);
 
-    const loopback_address daemon;
     const std::vector<dependency_rule> rules;
-    std::mutex mutex;
-    std::vector<std::unique_ptr<local_client>> idle_clients;
+    client_pool clients;
 };
 
 } // namespace laburnumreach::standin
--- a/packages/standin/include/laburnumreach/standin/platform_standin.hpp
+++ b/packages/standin/include/laburnumreach/standin/platform_standin.hpp
@@ -2,15 +2,13 @@
 #define LABURNUMREACH_STANDIN_PLATFORM_STANDIN_HPP
 
 #include "laburnumreach/standin/call_rate.hpp"
-#include "laburnumreach/standin/loopback_server.hpp"
+#include "laburnumreach/standin/controlled_server.hpp"
 #include "laburnumreach/standin/object_store.hpp"
 #include "laburnumreach/standin/platform_faults.hpp"
 #include "laburnumreach/standin/platform_statistics.hpp"
 
 #include <cstdint>
-#include <memory>
 #include <mutex>
-#include <optional>
 #include <string>
 
 namespace laburnumreach::standin
@@ -19,14 +17,11 @@
 /// Settings of a platform_standin.
 struct platform_standin_options
 {
-    loopback_address listen;
-    /// Port of a second listener for /control, which still answers while connections are refused.
-    std::optional<std::uint16_t> control_port;
+    controlled_server_options server;
     double writes_per_second = 400.0;
     double reads_per_second = 2000.0;
     std::size_t most_value_bytes = 1024 * 1024;
-    std::size_t most_connections = 400; ///< One thread each.
-    std::uint64_t seed = 1;             ///< For faults with a probability.
+    std::uint64_t seed = 1; ///< For faults with a probability.
 };
 
 /// Stand-in for the platform's object API (design page, section 11) with faults that are set at run time.
@@ -39,16 +34,16 @@
     explicit platform_standin(const platform_standin_options& settings);
 
     /// Starts to listen.
-    core::result<void> start();
+    core::result<void> start() { return this->server.start(); }
 
     /// Ends all calls, including waiting watches.
-    void stop();
+    void stop() { this->server.stop(); }
 
     /// Returns the port of the object API.
-    std::uint16_t port() const { return this->server.port(); }
+    std::uint16_t port() const { return this->server.main().port(); }
 
-    /// Returns the port of the control listener, if there is one.
-    std::optional<std::uint16_t> control_port() const;
+    /// Returns the line that tells the ports.
+    std::string ready_line() const { return this->server.ready_line(); }
 
 private:
     struct call;
@@ -76,8 +71,7 @@
     std::mutex rate_mutex;
     call_rate write_rate;
     call_rate read_rate;
-    std::unique_ptr<loopback_server> control_server;
-    loopback_server server;
+    controlled_server server;
 };
 
 } // namespace laburnumreach::standin
--- a/packages/standin/include/laburnumreach/standin/upstream_standin.hpp
+++ b/packages/standin/include/laburnumreach/standin/upstream_standin.hpp
@@ -2,9 +2,9 @@
 #define LABURNUMREACH_STANDIN_UPSTREAM_STANDIN_HPP
 
 #include "laburnumreach/standin/announcer.hpp"
+#include "laburnumreach/standin/controlled_server.hpp"
 #include "laburnumreach/standin/dependency_calls.hpp"
 #include "laburnumreach/standin/execution_record.hpp"
-#include "laburnumreach/standin/loopback_server.hpp"
 #include "laburnumreach/standin/service_time.hpp"
 #include "laburnumreach/standin/slot_queue.hpp"
 #include "laburnumreach/standin/upstream_faults.hpp"
@@ -24,9 +24,7 @@
 /// Settings of an upstream_standin.
 struct upstream_standin_options
 {
-    loopback_address listen;
-    /// Port of a second listener for /control, which still answers while connections are refused.
-    std::optional<std::uint16_t> control_port;
+    controlled_server_options server;
     std::optional<loopback_address>
         daemon; ///< Local listener of the daemon; none: no announcements or calls.
     std::string service = "service";
@@ -41,7 +39,6 @@
     core::duration announce_interval = std::chrono::seconds{1};
     std::size_t answer_bytes = 0; ///< Size of answers without a parameter answer_bytes.
     std::vector<std::string> forbidden_texts;
-    std::size_t most_connections = 400; ///< One thread each.
     std::uint64_t seed = 1;
 };
 
@@ -69,10 +66,10 @@
     void stop();
 
     /// Returns the port for requests.
-    std::uint16_t port() const { return this->server.port(); }
+    std::uint16_t port() const { return this->server.main().port(); }
 
-    /// Returns the port of the control listener, if there is one.
-    std::optional<std::uint16_t> control_port() const;
+    /// Returns the line that tells the ports.
+    std::string ready_line() const { return this->server.ready_line(); }
 
 private:
     struct work;
@@ -103,8 +100,7 @@
     std::atomic<bool> draining = false;
     std::deque<double> past_loads; ///< Used by the announcer's thread only; the latest is the first.
     std::unique_ptr<announcer> announcements;
-    std::unique_ptr<loopback_server> control_server;
-    loopback_server server;
+    controlled_server server;
 };
 
 } // namespace laburnumreach::standin
--- a/packages/standin/programs/upstream_standin.cpp
+++ b/packages/standin/programs/upstream_standin.cpp
@@ -34,11 +34,7 @@
 
 void add_options(CLI::App& app, standin::upstream_standin_options& options, command_line& line)
 {
-    app.set_config("--settings", "", "file with these options in TOML");
-    app.add_option("--address", options.listen.ip, "IPv4 loopback address")->capture_default_str();
-    app.add_option("--port", options.listen.port, "0 picks one");
-    app.add_option("--control-port", options.control_port,
-                   "second listener for /control, which also answers while connections are refused");
+    standin::add_server_options(app, options.server);
     app.add_option("--daemon", line.daemon, "<ip>:<port> of the daemon's local listener");
     app.add_option("--service", options.service)->capture_default_str();
     app.add_option("--instance", options.instance)->capture_default_str();
@@ -64,7 +60,6 @@
         ->capture_default_str();
     app.add_option("--answer-bytes", options.answer_bytes)->capture_default_str();
     app.add_option("--forbidden-text-file", line.forbidden_text_file, "one text on each line");
-    app.add_option("--most-connections", options.most_connections, "one thread each")->capture_default_str();
     app.add_option("--seed", options.seed)->capture_default_str();
 }
 
@@ -98,10 +93,6 @@
 core::result<void> apply(const command_line& line, standin::upstream_standin_options& options)
 {
     using std::chrono::milliseconds;
-    if (const auto checked = standin::parse_loopback_ip(options.listen.ip); !checked)
-    {
-        return tl::unexpected(checked.error());
-    }
     if (!line.daemon.empty())
     {
         const auto daemon = standin::parse_loopback_address(line.daemon);
@@ -144,20 +135,11 @@
         std::cerr << applied.error().message << '\n';
         return 2;
     }
-    standin::block_end_signals();
-    standin::upstream_standin upstream{options};
-    if (const auto started = upstream.start(); !started)
-    {
-        std::cerr << started.error().message << '\n';
-        return 1;
-    }
-    std::string ready = "ready port=" + std::to_string(upstream.port());
-    if (const auto control = upstream.control_port())
-    {
-        ready += " control_port=" + std::to_string(*control);
-    }
-    standin::wait_for_end(ready);
-    upstream.drain(std::chrono::milliseconds{line.drain_least_ms}, std::chrono::milliseconds{line.drain_ms});
-    upstream.stop();
-    return 0;
+    return standin::run_until_end<standin::upstream_standin>(
+        options,
+        [&line](standin::upstream_standin& upstream)
+        {
+            upstream.drain(std::chrono::milliseconds{line.drain_least_ms},
+                           std::chrono::milliseconds{line.drain_ms});
+        });
 }
--- a/packages/standin/src/dependency_calls.cpp
+++ b/packages/standin/src/dependency_calls.cpp
@@ -43,8 +43,8 @@
     return rule;
 }
 
-dependency_calls::dependency_calls(loopback_address daemon_address, std::vector<dependency_rule> call_rules)
-    : daemon(std::move(daemon_address)), rules(std::move(call_rules))
+dependency_calls::dependency_calls(const loopback_address& daemon, std::vector<dependency_rule> call_rules)
+    : rules(std::move(call_rules)), clients(daemon)
 {
 }
 
@@ -92,10 +92,8 @@
         call.headers.emplace("Idempotency-Key", request.idempotency_key + "/" + number);
     }
     httplib::Response answer;
-    std::unique_ptr<local_client> client = this->take_client();
     const local_client::failure failure =
-        client->call(call, answer, deadline - core::boot_clock::now(), &caller);
-    this->give_back(std::move(client));
+        this->clients.call(call, answer, deadline - core::boot_clock::now(), &caller);
 
     result ended{.ended = outcome::failed, .path = target.path, .status = 0, .verdict = {}};
     if (failure != local_client::failure::none)
@@ -121,24 +119,4 @@
     return ended;
 }
 
-std::unique_ptr<local_client> dependency_calls::take_client()
-{
-    {
-        const std::lock_guard lock{this->mutex};
-        if (!this->idle_clients.empty())
-        {
-            std::unique_ptr<local_client> client = std::move(this->idle_clients.back());
-            this->idle_clients.pop_back();
-            return client;
-        }
-    }
-    return std::make_unique<local_client>(this->daemon);
-}
-
-void dependency_calls::give_back(std::unique_ptr<local_client> client)
-{
-    const std::lock_guard lock{this->mutex};
-    this->idle_clients.push_back(std::move(client));
-}
-
 } // namespace laburnumreach::standin
--- a/packages/standin/src/platform_standin.cpp
+++ b/packages/standin/src/platform_standin.cpp
@@ -13,7 +13,6 @@
 {
 
 constexpr std::string_view object_prefix = "/v1/objects";
-constexpr std::string_view control_prefix = "/control/";
 constexpr std::chrono::milliseconds longest_watch{120'000};
 
 std::optional<std::uint64_t> parse_number(std::string_view text)
@@ -61,54 +60,18 @@
       faults(settings.seed),
       write_rate(settings.writes_per_second, core::boot_clock::now()),
       read_rate(settings.reads_per_second, core::boot_clock::now()),
-      server({.listen = settings.listen, .most_connections = settings.most_connections},
-             [this](const httplib::Request& request, const std::string& path, httplib::Response& response,
-                    connection& caller) { this->handle(request, path, response, caller); })
+      server(
+          settings.server,
+          [this](const httplib::Request& request, const std::string& path, httplib::Response& response,
+                 connection& caller) { this->handle(request, path, response, caller); },
+          [this](const httplib::Request& request, const std::string& path, httplib::Response& response,
+                 const connection*) { this->handle_control(request, path, response); })
 {
-    if (settings.control_port)
-    {
-        this->control_server = std::make_unique<loopback_server>(
-            loopback_server_options{.listen = {.ip = settings.listen.ip, .port = *settings.control_port},
-                                    .most_connections = 16},
-            [this](const httplib::Request& request, const std::string& path, httplib::Response& response,
-                   connection&) { this->handle_control(request, path, response); });
-    }
-}
-
-core::result<void> platform_standin::start()
-{
-    if (this->control_server)
-    {
-        if (const core::result<void> opened = this->control_server->start(); !opened)
-        {
-            return tl::unexpected(opened.error());
-        }
-    }
-    return this->server.start();
-}
-
-void platform_standin::stop()
-{
-    this->server.stop_serving();
-    if (this->control_server)
-    {
-        this->control_server->stop_serving();
-    }
-}
-
-std::optional<std::uint16_t> platform_standin::control_port() const
-{
-    return this->control_server ? std::optional{this->control_server->port()} : std::nullopt;
 }
 
 void platform_standin::handle(const httplib::Request& request, const std::string& path,
                               httplib::Response& response, connection& caller)
 {
-    if (path.starts_with(control_prefix))
-    {
-        this->handle_control(request, path, response);
-        return;
-    }
     if (!path.starts_with(object_prefix))
     {
         answer_error(response, 404, "unknown path");
@@ -157,7 +120,7 @@
     if (done)
     {
         const bool refuse = this->faults.outage({}) == platform_faults::outage_mode::refuse;
-        done = this->server.refuse_connections(refuse);
+        done = this->server.main().refuse_connections(refuse);
         this->objects.wake_watchers();
     }
     if (!done)
--- a/packages/standin/src/upstream_control.cpp
+++ b/packages/standin/src/upstream_control.cpp
@@ -43,12 +43,12 @@
     if (done)
     {
         const upstream_faults::lasting current = this->faults.current();
-        this->server.silence_new_connections(current.silent == upstream_faults::silence::all);
+        this->server.main().silence_new_connections(current.silent == upstream_faults::silence::all);
         if (current.silent != upstream_faults::silence::none)
         {
-            this->server.silence_open_connections(caller);
+            this->server.main().silence_open_connections(caller);
         }
-        done = this->server.refuse_connections(current.refuse);
+        done = this->server.main().refuse_connections(current.refuse);
     }
     if (!done)
     {
--- a/packages/standin/src/upstream_standin.cpp
+++ b/packages/standin/src/upstream_standin.cpp
@@ -15,7 +15,6 @@
 namespace
 {
 
-constexpr std::string_view control_prefix = "/control/";
 constexpr std::size_t most_answer_bytes = 16 * 1024 * 1024;
 constexpr std::chrono::seconds default_call_timeout{10};
 constexpr std::chrono::milliseconds drain_check_interval{5};
@@ -46,15 +45,18 @@
       times(settings.service_times, settings.other_service_time, settings.slow_periods, settings.seed),
       slots(settings.slots),
       faults(settings.seed + 1),
-      server({.listen = settings.listen, .most_connections = settings.most_connections},
-             [this](const httplib::Request& request, const std::string& path, httplib::Response& response,
-                    connection& caller) { this->handle(request, path, response, caller); })
+      server(
+          settings.server,
+          [this](const httplib::Request& request, const std::string& path, httplib::Response& response,
+                 connection& caller) { this->handle(request, path, response, caller); },
+          [this](const httplib::Request& request, const std::string& path, httplib::Response& response,
+                 const connection* caller) { this->handle_control(request, path, response, caller); })
 {
     this->record.set_forbidden_texts(settings.forbidden_texts);
-    this->server.set_before_body(
+    this->server.main().set_before_body(
         [this](const std::string& path, connection& caller)
         {
-            if (!path.starts_with(control_prefix))
+            if (!controlled_server::is_control(path))
             {
                 caller.pace_reads(this->faults.current().reader_bytes_per_second);
             }
@@ -65,31 +67,16 @@
         this->announcements = std::make_unique<announcer>(*settings.daemon, settings.announce_interval,
                                                           [this] { return this->announcement(); });
     }
-    if (settings.control_port)
-    {
-        this->control_server = std::make_unique<loopback_server>(
-            loopback_server_options{.listen = {.ip = settings.listen.ip, .port = *settings.control_port},
-                                    .most_connections = 16},
-            [this](const httplib::Request& request, const std::string& path, httplib::Response& response,
-                   connection&) { this->handle_control(request, path, response, nullptr); });
-    }
 }
 
 core::result<void> upstream_standin::start()
 {
-    for (loopback_server* const each : {this->control_server.get(), &this->server})
-    {
-        core::result<void> started = each == nullptr ? core::result<void>{} : each->start();
-        if (!started)
-        {
-            return started;
-        }
-    }
-    if (this->announcements)
+    core::result<void> started = this->server.start();
+    if (started && this->announcements)
     {
         this->announcements->start();
     }
-    return {};
+    return started;
 }
 
 void upstream_standin::drain(core::duration at_least, core::duration at_most)
@@ -115,26 +102,12 @@
     {
         this->announcements->stop();
     }
-    this->server.stop_serving();
-    if (this->control_server)
-    {
-        this->control_server->stop_serving();
-    }
-}
-
-std::optional<std::uint16_t> upstream_standin::control_port() const
-{
-    return this->control_server ? std::optional{this->control_server->port()} : std::nullopt;
+    this->server.stop();
 }
 
 void upstream_standin::handle(const httplib::Request& request, const std::string& path,
                               httplib::Response& response, connection& caller)
 {
-    if (path.starts_with(control_prefix))
-    {
-        this->handle_control(request, path, response, &caller);
-        return;
-    }
     work current{.request = request,
                  .path = path,
                  .response = response,
@@ -307,7 +280,7 @@
     const double lagging = this->past_loads[std::min(current.load_lag, this->past_loads.size() - 1)];
     return nlohmann::json{{"service", this->options.service},
                           {"instance", this->options.instance},
-                          {"address", this->options.listen.ip},
+                          {"address", this->options.server.listen.ip},
                           {"port", this->port()},
                           {"slots", this->options.slots},
                           {"zone", this->options.zone},
--- a/packages/standin/src/worker_pool.cpp
+++ b/packages/standin/src/worker_pool.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-// std::regex and JSON parsing recurse, so the default of posix_thread is too small.
+// cpp-httplib matches status lines with std::regex, which recurses for each character.
 constexpr std::size_t stack_bytes = 512 * 1024;
 
 } // namespace
