--- a/packages/config/src/key_digest.cpp
+++ b/packages/config/src/key_digest.cpp
@@ -1,5 +1,7 @@
 #include "laburnumreach/config/key_digest.hpp"
 
+#include "laburnumreach/core/hex.hpp"
+
 #include <openssl/sha.h>
 
 namespace laburnumreach::config
@@ -8,8 +10,6 @@
 namespace
 {
 
-constexpr std::string_view hex_digits = "0123456789abcdef";
-
 std::optional<std::uint8_t> parse_hex_digit(char digit) noexcept
 {
     if (digit >= '0' && digit <= '9')
@@ -35,14 +35,7 @@
 
 std::string to_hex(const key_digest& digest)
 {
-    std::string hex;
-    hex.reserve(2 * digest.bytes.size());
-    for (const std::uint8_t byte : digest.bytes)
-    {
-        hex += hex_digits[byte >> 4U];
-        hex += hex_digits[byte & 15U];
-    }
-    return hex;
+    return core::to_hex(digest.bytes);
 }
 
 std::optional<key_digest> parse_key_digest(std::string_view hex) noexcept
--- a/packages/platform/src/http_object_store.cpp
+++ b/packages/platform/src/http_object_store.cpp
@@ -1,5 +1,7 @@
 #include "laburnumreach/platform/http_object_store.hpp"
 
+#include "laburnumreach/platform/percent_encoding.hpp"
+
 #include <httplib.h>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -13,35 +15,9 @@
 // A list may hold all zone records; a value may grow sixfold by JSON escapes.
 constexpr std::uint64_t max_response_bytes = 16ULL * 1024 * 1024;
 
-bool is_unreserved(char value)
-{
-    return (value >= 'a' && value <= 'z') || (value >= 'A' && value <= 'Z') ||
-           (value >= '0' && value <= '9') || value == '-' || value == '.' || value == '_' || value == '~';
-}
-
-/// Percent-encodes an object name; '/' stays as it is.
-std::string encode_name(std::string_view name)
-{
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    std::string encoded;
-    for (const char value : name)
-    {
-        if (is_unreserved(value) || value == '/')
-        {
-            encoded += value;
-            continue;
-        }
-        const auto byte = static_cast<unsigned char>(value);
-        encoded += '%';
-        encoded += digits[byte >> 4U];
-        encoded += digits[byte & 15U];
-    }
-    return encoded;
-}
-
 std::string path_of(std::string_view name)
 {
-    return "/v1/objects/" + encode_name(name);
+    return "/v1/objects/" + percent_encode(name);
 }
 
 object object_from(const nlohmann::json& json)
@@ -214,7 +190,7 @@
         }
         return objects;
     };
-    return this->links->read("/v1/objects?prefix=" + encode_name(prefix))
+    return this->links->read("/v1/objects?prefix=" + percent_encode(prefix))
         .and_then([&](const httplib::Response& response)
                   { return read_json(response, call_kind::read, objects_from); });
 }
--- a/packages/platform/src/operation_id.cpp
+++ b/packages/platform/src/operation_id.cpp
@@ -1,19 +1,20 @@
 #include "laburnumreach/platform/operation_id.hpp"
 
-#include <string_view>
+#include "laburnumreach/core/hex.hpp"
+
+#include <array>
 
 namespace laburnumreach::platform
 {
 
 std::string make_operation_id(core::random_source& random)
 {
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string id(32, '0');
-    for (char& digit : id)
+    std::array<std::uint8_t, 16> bytes{};
+    for (std::uint8_t& byte : bytes)
     {
-        digit = digits[random.below(digits.size())];
+        byte = static_cast<std::uint8_t>(random.below(256));
     }
-    return id;
+    return core::to_hex(bytes);
 }
 
 } // namespace laburnumreach::platform
