Halve the minimum shares of the gates

Cause: with the same minimum shares at the gate and in the queue, a backlog of normal and bulk calls at the slow service never drained. These calls held the slots of the services above, and critical calls waited for slots there. Change: gates admit a minimum of 5% normal and 2.5% bulk, queues serve 10% and 5%.

--- a/packages/overload/include/laburnumreach/overload/admission_control.hpp
+++ b/packages/overload/include/laburnumreach/overload/admission_control.hpp
@@ -21,8 +21,8 @@
     core::duration target_delay = std::chrono::milliseconds{20};
     /// Time in which a queue above the target is to be drained.
     core::duration drain_time = std::chrono::milliseconds{500};
-    /// Same shares as at the queue and at the gates of the callers.
-    class_shares minimum_shares = default_minimum_shares;
+    /// Same shares as at the gates of the callers.
+    class_shares minimum_shares = gate_minimum_shares;
 };
 
 /// State of an instance after an event.
--- a/packages/overload/include/laburnumreach/overload/admission_gate.hpp
+++ b/packages/overload/include/laburnumreach/overload/admission_gate.hpp
@@ -32,7 +32,7 @@
         refused,
     };
 
-    explicit admission_gate(const class_shares& minimum_shares = default_minimum_shares)
+    explicit admission_gate(const class_shares& minimum_shares = gate_minimum_shares)
         : guarantee(minimum_shares)
     {
     }
--- a/packages/overload/include/laburnumreach/overload/fair_queue.hpp
+++ b/packages/overload/include/laburnumreach/overload/fair_queue.hpp
@@ -27,7 +27,7 @@
     std::array<std::size_t, core::priority_class_count> class_capacity{384, 384, 384, 256};
     /// Entries of a class that a more important class does not evict.
     std::array<std::size_t, core::priority_class_count> reserved{0, 0, 32, 16};
-    class_shares minimum_shares = default_minimum_shares;
+    class_shares minimum_shares = queue_minimum_shares;
 };
 
 /// Identifies an entry until it leaves the queue; a stale ticket is recognised.
--- a/packages/overload/include/laburnumreach/overload/share_guarantee.hpp
+++ b/packages/overload/include/laburnumreach/overload/share_guarantee.hpp
@@ -11,8 +11,13 @@
 /// Share of each class; the index is the class.
 using class_shares = std::array<double, core::priority_class_count>;
 
-/// Minimum shares of the admitted calls, so that no class starves under strict priority.
-inline constexpr class_shares default_minimum_shares{0.0, 0.10, 0.10, 0.05};
+/// Minimum shares of the calls that leave a queue, so that no class starves under strict priority.
+inline constexpr class_shares queue_minimum_shares{0.0, 0.10, 0.10, 0.05};
+
+/// Minimum shares of the requests that callers admit. They are half of those of the queue: with equal shares
+/// a backlog of a class would stay for as long as the overload lasts, and its calls would hold the slots of
+/// the services above.
+inline constexpr class_shares gate_minimum_shares{0.0, 0.05, 0.05, 0.025};
 
 /// Keeps account of the minimum share of each class by credits. Every admitted call adds the share of each
 /// class to its credit, and a call of that class uses one credit up.
@@ -22,10 +27,7 @@
     /// Credit limit; it bounds the burst that a class may claim after a pause.
     static constexpr double max_credit = 8.0;
 
-    explicit share_guarantee(const class_shares& minimum_shares = default_minimum_shares)
-        : shares(minimum_shares)
-    {
-    }
+    explicit share_guarantee(const class_shares& minimum_shares) : shares(minimum_shares) {}
 
     /// Records an admitted call.
     void admitted(core::priority_class cls) noexcept;
