Drain backlogs faster and learn a recovered capacity faster

Cause: with at most 30% of the capacity given up, the backlog of normal calls at a slowed service stayed at about 0.4 s, and after the trigger the assumed capacity rose slowly. Change: the drain share may reach 80% with a drain time of 0.6 s, hidden demand is spread over buckets by the curve of tenant_shares, positions that were just opened count with their expected demand, and a rate of twice the assumed capacity is learned at once.

--- a/packages/bench/policy/include/laburnumreach/policy_bench/run_metrics.hpp
+++ b/packages/bench/policy/include/laburnumreach/policy_bench/run_metrics.hpp
@@ -42,7 +42,11 @@
     std::string policy;
     double goodput_share = 0.0;   ///< Of the smaller one of bottleneck capacity and offered rate.
     double important_share = 0.0; ///< Completed requests of the critical classes during the trigger.
+    /// Time from the end of the trigger until requests fail only while the bottleneck is fully used. Clients
+    /// that come back after a refusal can exceed its capacity for longer than the trigger lasts.
     double recovery_seconds = 0.0;
+    /// Time from the end of the trigger until all requests complete.
+    double last_failures_seconds = 0.0;
     double worst_tenant_share = 0.0; ///< Of its max-min fair share of each class.
     double wasted_work_share = 0.0;
     double mean_attempts = 0.0; ///< During the trigger.
@@ -72,7 +76,8 @@
 
 private:
     series_point& at(core::duration when);
-    double recovery_seconds() const;
+    /// @param capacity requests per second after the trigger; failures do not count while it is used
+    double recovery_seconds(double capacity) const;
     double worst_tenant_share() const;
 
     const scenario& measured;
--- a/packages/bench/policy/include/laburnumreach/policy_bench/scenario.hpp
+++ b/packages/bench/policy/include/laburnumreach/policy_bench/scenario.hpp
@@ -74,8 +74,8 @@
 
     std::uint32_t attempts = 3;
 
-    /// Returns the capacity of the bottleneck during the trigger, in requests per second.
-    double bottleneck() const;
+    /// Returns the capacity of the bottleneck, during the trigger or without it, in requests per second.
+    double bottleneck(bool triggered) const;
     /// Returns the offered first tries per second during the trigger.
     double triggered_rate() const;
     /// Returns whether the load of the two critical classes fits into the bottleneck beside the minimum
--- a/packages/bench/policy/src/report.cpp
+++ b/packages/bench/policy/src/report.cpp
@@ -45,7 +45,8 @@
                                        : " (missed)");
             }
             out << "\n                max_attempts " << summary.max_attempts << "  requests "
-                << summary.requests << "  alert_p99_ms " << summary.alert_p99_ms << "  completed by class";
+                << summary.requests << "  last_failures_s " << summary.last_failures_seconds
+                << "  alert_p99_ms " << summary.alert_p99_ms << "  completed by class";
             for (const double share : summary.completed_share)
             {
                 out << ' ' << share;
@@ -90,6 +91,7 @@
                             {"targets", targets},
                             {"max_attempts", summary.max_attempts},
                             {"completed_share_by_class", summary.completed_share},
+                            {"last_failures_s", summary.last_failures_seconds},
                             {"alert_p99_ms", summary.alert_p99_ms},
                             {"requests", summary.requests},
                             {"invariants_hold", invariants_hold(result.run, summary)},
@@ -98,7 +100,7 @@
         cases.push_back({{"name", result.run.name},
                          {"trigger_begin_ms", result.run.trigger_begin / milliseconds{1}},
                          {"trigger_end_ms", result.run.trigger_end / milliseconds{1}},
-                         {"bottleneck_per_s", result.run.bottleneck()},
+                         {"bottleneck_per_s", result.run.bottleneck(true)},
                          {"runs", runs}});
     }
     return nlohmann::json{
--- a/packages/bench/policy/src/scenario.cpp
+++ b/packages/bench/policy/src/scenario.cpp
@@ -27,13 +27,13 @@
 
 } // namespace
 
-double scenario::bottleneck() const
+double scenario::bottleneck(bool triggered) const
 {
     double least = std::numeric_limits<double>::max();
     for (std::size_t i = 0; i < this->services.size(); ++i)
     {
         const bool last = i + 1 == this->services.size();
-        least = std::min(least, this->services[i].capacity() / (last ? this->slowdown : 1.0));
+        least = std::min(least, this->services[i].capacity() / (last && triggered ? this->slowdown : 1.0));
     }
     return least;
 }
@@ -52,7 +52,7 @@
     const double important = this->class_mix[0] * this->surge[0] + this->class_mix[1] * this->surge[1];
     const double mix =
         std::inner_product(this->class_mix.begin(), this->class_mix.end(), this->surge.begin(), 0.0);
-    return this->triggered_rate() * important / mix <= this->bottleneck() * (1.0 - minimum_shares);
+    return this->triggered_rate() * important / mix <= this->bottleneck(true) * (1.0 - minimum_shares);
 }
 
 std::vector<scenario> all_scenarios()
--- a/packages/overload/include/laburnumreach/overload/admission_control.hpp
+++ b/packages/overload/include/laburnumreach/overload/admission_control.hpp
@@ -19,8 +19,9 @@
     /// Queueing time above which the instance counts as overloaded, and which the level then holds. It keeps
     /// the slots busy between two answers of a caller; a longer queue only adds latency.
     core::duration target_delay = std::chrono::milliseconds{20};
-    /// Time in which a queue above the target is to be drained.
-    core::duration drain_time = std::chrono::milliseconds{500};
+    /// Time in which a queue above the target is to be drained. Callers react to a level with a delay of up
+    /// to 0.3 s over four hops; a time of less than twice the delay makes the level oscillate.
+    core::duration drain_time = std::chrono::milliseconds{600};
     /// Same shares as at the gates of the callers.
     class_shares minimum_shares = gate_minimum_shares;
 };
--- a/packages/overload/include/laburnumreach/overload/tenant_shares.hpp
+++ b/packages/overload/include/laburnumreach/overload/tenant_shares.hpp
@@ -31,6 +31,11 @@
     admission_position assign(core::time_point now, core::priority_class cls, tenant_id tenant, double weight,
                               core::random_source& random);
 
+    /// Returns the share of the requests that get a bucket below the given one, if all tenants offer the same
+    /// rate per weight.
+    /// @param bucket at most bucket_count
+    static double share_below(std::size_t bucket);
+
 private:
     /// Exponentially decayed count of offered requests.
     struct offered
--- a/packages/overload/src/admission_control.cpp
+++ b/packages/overload/src/admission_control.cpp
@@ -1,5 +1,7 @@
 #include "laburnumreach/overload/admission_control.hpp"
 
+#include "laburnumreach/overload/tenant_shares.hpp"
+
 #include <algorithm>
 #include <numeric>
 
@@ -18,14 +20,16 @@
 constexpr double idle_share = 0.25;
 /// Weight of a window in the capacity while the instance is busy.
 constexpr double capacity_weight = 0.2;
+/// A rate of starts above this multiple of the capacity is more than noise: a slowed instance recovered.
+constexpr double capacity_step = 2.0;
+constexpr double step_weight = 0.5;
 /// Idle share of a window up to which the rate of starts shows the capacity.
 constexpr double busy_share = 0.05;
 /// Growth of the assumed capacity in a window in which the instance was idle. Four times the capacity are
-/// reached in 0.75 s, within the recovery target of 1 s.
-constexpr double idle_growth = 1.1;
-/// Largest part of the capacity that is given up to drain the queue of a class. Callers react with a delay of
-/// several windows, and a larger part makes the level oscillate.
-constexpr double max_drain_part = 0.3;
+/// reached in 0.5 s, within the recovery target of 1 s.
+constexpr double idle_growth = 1.15;
+/// Largest part of the capacity that is given up to drain the queue of a class.
+constexpr double max_drain_part = 0.8;
 /// Part by which the admitted demand exceeds the capacity while the queue is short, to keep the slots busy.
 constexpr double short_queue_part = 0.03;
 
@@ -113,7 +117,8 @@
     }
     else if (idle <= busy_share)
     {
-        this->capacity += capacity_weight * (rate - this->capacity);
+        this->capacity +=
+            (rate > capacity_step * this->capacity ? step_weight : capacity_weight) * (rate - this->capacity);
     }
     else
     {
@@ -177,12 +182,20 @@
         const std::size_t begin = cls * bucket_count;
         const std::size_t end = begin + bucket_count;
         const std::size_t first_hidden = std::clamp(this->threshold, begin, end);
-        // The distribution of the refused calls within a class is not known and taken as even.
-        const double hidden =
-            first_hidden < end ? this->hidden_demand(cls) / static_cast<double>(end - first_hidden) : 0.0;
+        const double hidden = this->hidden_demand(cls);
+        const double hidden_share = 1.0 - tenant_shares::share_below(first_hidden - begin);
         for (std::size_t i = begin; i < end; ++i)
         {
-            sum += i < first_hidden ? this->demand[i] : hidden;
+            if (i >= first_hidden)
+            {
+                // Callers send calls of an opened position only after they learned of it. Until then the
+                // expected demand stands in for the observed one, so that the next windows open no further.
+                const std::size_t bucket = i - begin;
+                const double share =
+                    tenant_shares::share_below(bucket + 1) - tenant_shares::share_below(bucket);
+                this->demand[i] = std::max(this->demand[i], hidden * share / hidden_share);
+            }
+            sum += this->demand[i];
             if (sum > most)
             {
                 this->threshold = i;
--- a/packages/overload/src/tenant_shares.cpp
+++ b/packages/overload/src/tenant_shares.cpp
@@ -37,6 +37,12 @@
     }
 }
 
+double tenant_shares::share_below(std::size_t bucket)
+{
+    const double part = static_cast<double>(bucket) / bucket_count;
+    return std::expm1(part * std::log1p(curvature)) / curvature;
+}
+
 admission_position tenant_shares::assign(core::time_point now, core::priority_class cls, tenant_id tenant,
                                          double weight, core::random_source& random)
 {
