Shorten the advised wait and count recovery as time below capacity

Cause: after the 10x surge, refused clients came back for up to 5 s because of the advised wait, and the recovery measure counted their whole overload. Change: the mean advised wait is at most 2 s; the bench counts the time after the trigger in which requests fail although the bottleneck is not fully used.

--- a/packages/bench/policy/include/laburnumreach/policy_bench/run_metrics.hpp
+++ b/packages/bench/policy/include/laburnumreach/policy_bench/run_metrics.hpp
@@ -42,8 +42,9 @@
     std::string policy;
     double goodput_share = 0.0;   ///< Of the smaller one of bottleneck capacity and offered rate.
     double important_share = 0.0; ///< Completed requests of the critical classes during the trigger.
-    /// Time from the end of the trigger until requests fail only while the bottleneck is fully used. Clients
-    /// that come back after a refusal can exceed its capacity for longer than the trigger lasts.
+    /// Time after the end of the trigger during which requests fail although the bottleneck is not fully
+    /// used. Clients that come back after a refusal can exceed its capacity for longer than the trigger
+    /// lasts.
     double recovery_seconds = 0.0;
     /// Time from the end of the trigger until all requests complete.
     double last_failures_seconds = 0.0;
@@ -76,8 +77,7 @@
 
 private:
     series_point& at(core::duration when);
-    /// @param capacity requests per second after the trigger; failures do not count while it is used
-    double recovery_seconds(double capacity) const;
+    void measure_recovery(run_summary& result) const;
     double worst_tenant_share() const;
 
     const scenario& measured;
--- a/packages/overload/include/laburnumreach/overload/retry_policy.hpp
+++ b/packages/overload/include/laburnumreach/overload/retry_policy.hpp
@@ -17,9 +17,10 @@
     /// Mean wait before the first retry; doubles with each further one.
     core::duration base_backoff = std::chrono::milliseconds{5};
     core::duration max_backoff = std::chrono::milliseconds{100};
-    /// Range of the advised wait, from no overload to a closed gate.
+    /// Range of the mean advised wait, from no overload to a closed gate. Refused callers that wait longer
+    /// come back long after the overload and prolong it.
     std::chrono::milliseconds min_advice{200};
-    std::chrono::milliseconds max_advice{5000};
+    std::chrono::milliseconds max_advice{2000};
 };
 
 /// A failed attempt as the hop that sent it sees it.
