Keep estimation noise from shedding critical classes

Demand and capacity are known to about 10% only at 8 calls per window. Change: the bound of the critical classes has a margin of 25%, which their own queueing time outweighs when they really exceed the capacity.

--- a/packages/overload/src/admission_control.cpp
+++ b/packages/overload/src/admission_control.cpp
@@ -32,6 +32,10 @@
 constexpr double max_drain_part = 0.8;
 /// Part by which the admitted demand exceeds the capacity while the queue is short, to keep the slots busy.
 constexpr double short_queue_part = 0.03;
+/// The same for the critical classes. The estimates of demand and capacity are noisy by about 10% at a few
+/// calls per window, and noise must not shed important calls; if they really exceed the capacity, their
+/// queueing time outweighs the margin.
+constexpr double important_margin = 0.25;
 
 double seconds_of(core::duration value)
 {
@@ -152,14 +156,18 @@
     const double target = seconds_of(this->options.target_delay);
     const double wait = this->delay[cls];
     double part = 1.0;
-    if (wait > target)
+    if (cls <= static_cast<std::size_t>(core::priority_class::critical))
     {
-        part -= std::min((wait - target) / seconds_of(this->options.drain_time), max_drain_part);
+        part += important_margin;
     }
     else if (this->delay.back() < target / 2.0)
     {
         part += short_queue_part;
     }
+    if (wait > target)
+    {
+        part -= std::min((wait - target) / seconds_of(this->options.drain_time), max_drain_part);
+    }
     return (this->capacity - reserved) * part;
 }
 
