--- a/packages/http/include/laburnumreach/http/exchange_result.hpp
+++ b/packages/http/include/laburnumreach/http/exchange_result.hpp
@@ -39,7 +39,7 @@
 {
     exchange_progress progress = exchange_progress::connect_failed;
     exchange_fault fault = exchange_fault::none;
-    bool reused = false;           ///< The connection had served an earlier exchange.
+    bool reused = false;           ///< The connection came from the pool.
     bool response_started = false; ///< At least one byte of the response arrived.
     response answer{};             ///< Whole only for exchange_progress::complete.
 
--- a/packages/http/tests/client_pool_test.cpp
+++ b/packages/http/tests/client_pool_test.cpp
@@ -1,8 +1,12 @@
 #include "laburnumreach/http/client_pool.hpp"
 
 #include "echo_server.hpp"
+#include "raw_caller.hpp"
+#include "scripted_peer.hpp"
 
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
+#include <future>
 
 namespace laburnumreach::http
 {
@@ -11,15 +15,34 @@
 {
     CPPUNIT_TEST_SUITE(client_pool_test);
     CPPUNIT_TEST(connections_are_reused);
+    CPPUNIT_TEST(refused_connect_is_not_run);
+    CPPUNIT_TEST(unusable_request_is_not_sent);
+    CPPUNIT_TEST(passed_deadline_sends_nothing);
+    CPPUNIT_TEST(closed_idle_connection_is_replaced);
+    CPPUNIT_TEST(broken_reused_connection_is_not_retried);
+    CPPUNIT_TEST(early_refusal_of_a_large_body_is_read);
+    CPPUNIT_TEST(cancel_ends_a_waiting_exchange);
+    CPPUNIT_TEST(hang_up_of_the_caller_ends_a_waiting_exchange);
+    CPPUNIT_TEST(quiet_connection_is_reported_once);
+    CPPUNIT_TEST(own_fields_are_not_taken_over);
     CPPUNIT_TEST_SUITE_END();
 
+    static core::time_point soon() { return core::boot_clock::now() + std::chrono::seconds{30}; }
+
+    /// Accepts requests and never answers.
+    static void swallow(scripted_peer& peer, int descriptor, int)
+    {
+        peer.receive_request(descriptor);
+        scripted_peer::wait_for_close(descriptor);
+    }
+
 public:
     /// Guards against a new connection for each request.
     void connections_are_reused()
     {
         const auto running = start_server({.workers = 2});
         const endpoint destination{.address = "127.0.0.1", .port = running->port()};
-        client_pool pool{{}};
+        client_pool pool{client_pool_options{}};
         for (int count = 0; count < 3; ++count)
         {
             const exchange_result result =
@@ -30,6 +53,215 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pool.idle_count());
     }
+
+    /// Guards against a connect failure that is reported as may_have_run and so is not retried.
+    void refused_connect_is_not_run()
+    {
+        std::uint16_t closed_port = 0;
+        {
+            const auto running = start_server({.workers = 1});
+            closed_port = running->port();
+        }
+        client_pool pool{client_pool_options{}};
+        const endpoint destination{.address = "127.0.0.1", .port = closed_port};
+        const exchange_result result = pool.send(destination, {.deadline = soon()});
+        CPPUNIT_ASSERT(result.progress == exchange_progress::connect_failed);
+        CPPUNIT_ASSERT(result.verdict() == (core::verdict{.result = core::outcome::not_run,
+                                                          .why = core::reason::connect_failed}));
+        CPPUNIT_ASSERT(!pool.probe(destination, std::chrono::seconds{10}));
+        CPPUNIT_ASSERT(pool.send({.address = "no number", .port = 1}, {}).progress ==
+                       exchange_progress::connect_failed);
+    }
+
+    /// Guards against a field or target that adds a second request to the connection.
+    void unusable_request_is_not_sent()
+    {
+        scripted_peer peer{swallow};
+        client_pool pool{client_pool_options{}};
+        const headers split{{"X", "a\r\nY: b"}};
+        for (const outgoing_request& request :
+             {outgoing_request{.headers = &split}, outgoing_request{.target = "/a b"},
+              outgoing_request{.target = "http://h/"}, outgoing_request{.method = "GET /x"}})
+        {
+            const exchange_result result = pool.send(peer.where(), request);
+            CPPUNIT_ASSERT(result.progress == exchange_progress::not_sent);
+            CPPUNIT_ASSERT(result.fault == exchange_fault::refused_request);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, peer.requests());
+    }
+
+    /// Guards against work that is started after the caller has given up.
+    void passed_deadline_sends_nothing()
+    {
+        scripted_peer peer{swallow};
+        client_pool pool{client_pool_options{}};
+        CPPUNIT_ASSERT(pool.probe(peer.where(), std::chrono::seconds{10}));
+        for (int count = 0; count < 2; ++count)
+        {
+            const exchange_result result = pool.send(peer.where(), {.deadline = core::boot_clock::now()});
+            CPPUNIT_ASSERT(result.verdict() == (core::verdict{.result = core::outcome::not_run,
+                                                              .why = core::reason::deadline_exceeded}));
+        }
+        CPPUNIT_ASSERT_EQUAL(0, peer.requests());
+    }
+
+    /// Guards against a request that is lost on a connection the peer closed while it was idle.
+    void closed_idle_connection_is_replaced()
+    {
+        std::atomic<int> closed{0};
+        scripted_peer peer{[&closed](scripted_peer& self, int descriptor, int)
+                           {
+                               self.receive_request(descriptor);
+                               scripted_peer::send(descriptor, "HTTP/1.1 204 No Content\r\n\r\n");
+                               ::shutdown(descriptor, SHUT_WR);
+                               scripted_peer::wait_until_delivered(descriptor);
+                               ++closed;
+                               closed.notify_all();
+                               scripted_peer::wait_for_close(descriptor);
+                           }};
+        client_pool pool{client_pool_options{}};
+        for (int count = 0; count < 3; ++count)
+        {
+            CPPUNIT_ASSERT(pool.send(peer.where(), {.deadline = soon()}).complete());
+            closed.wait(count);
+        }
+        CPPUNIT_ASSERT_EQUAL(3, peer.requests());
+    }
+
+    /// Guards against a second run of a request that may have run.
+    void broken_reused_connection_is_not_retried()
+    {
+        scripted_peer peer{[](scripted_peer& self, int descriptor, int)
+                           {
+                               self.receive_request(descriptor);
+                               scripted_peer::send(descriptor, "HTTP/1.1 204 No Content\r\n\r\n");
+                               self.receive_request(descriptor);
+                           }};
+        client_pool pool{client_pool_options{}};
+        CPPUNIT_ASSERT(pool.send(peer.where(), {.deadline = soon()}).complete());
+        const exchange_result second = pool.send(peer.where(), {.deadline = soon()});
+        CPPUNIT_ASSERT(second.reused);
+        CPPUNIT_ASSERT(second.verdict() == (core::verdict{.result = core::outcome::may_have_run,
+                                                          .why = core::reason::connection_lost}));
+        CPPUNIT_ASSERT_EQUAL(2, peer.requests());
+    }
+
+    /// Guards against a refusal that is lost because the peer does not read the whole body.
+    void early_refusal_of_a_large_body_is_read()
+    {
+        const auto running =
+            start_server({.workers = 1}, [](incoming_request&, response& answer) { answer.status = 413; });
+        const std::string body(16 * 1024 * 1024, 'b');
+        client_pool pool{client_pool_options{}};
+        const exchange_result result = pool.send({.address = "127.0.0.1", .port = running->port()},
+                                                 {.method = "PUT", .body = body, .deadline = soon()});
+        CPPUNIT_ASSERT(result.complete());
+        CPPUNIT_ASSERT_EQUAL(413, result.answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pool.idle_count());
+    }
+
+    /// Guards against a withdrawn key whose request keeps waiting.
+    void cancel_ends_a_waiting_exchange()
+    {
+        cancellation control;
+        scripted_peer peer{[&control](scripted_peer& self, int descriptor, int)
+                           {
+                               self.receive_request(descriptor);
+                               control.cancel();
+                               scripted_peer::wait_for_close(descriptor);
+                           }};
+        client_pool pool{client_pool_options{}};
+        const exchange_result result = pool.send(peer.where(), {.deadline = soon()}, &control);
+        CPPUNIT_ASSERT(result.verdict() == (core::verdict{.result = core::outcome::may_have_run,
+                                                          .why = core::reason::cancelled}));
+        // A cancelled control sends nothing.
+        const exchange_result later = pool.send(peer.where(), {.deadline = soon()}, &control);
+        CPPUNIT_ASSERT(later.verdict() ==
+                       (core::verdict{.result = core::outcome::not_run, .why = core::reason::cancelled}));
+        CPPUNIT_ASSERT_EQUAL(1, peer.requests());
+    }
+
+    /// Guards against work that goes on upstream after the caller disconnected.
+    void hang_up_of_the_caller_ends_a_waiting_exchange()
+    {
+        std::promise<core::verdict> seen;
+        client_pool pool{client_pool_options{}};
+        raw_caller* gone = nullptr;
+        scripted_peer peer{[&gone](scripted_peer& self, int descriptor, int)
+                           {
+                               self.receive_request(descriptor);
+                               gone->close();
+                               scripted_peer::wait_for_close(descriptor);
+                           }};
+        const auto running =
+            start_server({.workers = 1},
+                         [&](incoming_request& request, response&)
+                         {
+                             const outgoing_request forwarded{.deadline = soon(),
+                                                              .cancel_on_hangup = request.descriptor()};
+                             seen.set_value(pool.send(peer.where(), forwarded).verdict());
+                         });
+        raw_caller caller{running->port()};
+        gone = &caller;
+        caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        CPPUNIT_ASSERT(seen.get_future().get() == (core::verdict{.result = core::outcome::may_have_run,
+                                                                 .why = core::reason::cancelled}));
+    }
+
+    /// Guards against a silent connection that is only noticed at the deadline.
+    void quiet_connection_is_reported_once()
+    {
+        scripted_peer peer{swallow};
+        client_pool pool{client_pool_options{}};
+        int reports = 0;
+        bool reachable = false;
+        outgoing_request request{.deadline = soon(),
+                                 .first_byte_timeout = std::chrono::milliseconds{60},
+                                 .on_quiet =
+                                     [&]
+                                 {
+                                     ++reports;
+                                     reachable = pool.probe(peer.where(), std::chrono::seconds{10});
+                                     return true;
+                                 },
+                                 .quiet_after = std::chrono::milliseconds{20}};
+        CPPUNIT_ASSERT(pool.send(peer.where(), request).fault == exchange_fault::silent);
+        CPPUNIT_ASSERT_EQUAL(1, reports);
+        CPPUNIT_ASSERT(reachable);
+        request.on_quiet = [] { return false; };
+        request.first_byte_timeout = std::chrono::milliseconds{0};
+        const exchange_result given_up = pool.send(peer.where(), request);
+        CPPUNIT_ASSERT(given_up.fault == exchange_fault::silent);
+        CPPUNIT_ASSERT(given_up.progress == exchange_progress::sent);
+    }
+
+    /// Guards against framing fields of the caller that contradict the forwarded body.
+    void own_fields_are_not_taken_over()
+    {
+        const auto running =
+            start_server({.workers = 1},
+                         [](incoming_request& request, response& answer)
+                         {
+                             for (const auto& [name, value] : request.head().headers)
+                             {
+                                 answer.body.append(name).append("=").append(value).append(" ");
+                             }
+                             std::string body;
+                             read_whole_body(request, body);
+                         });
+        client_pool pool{client_pool_options{}};
+        headers fields{{"Host", "service"},      {"Connection", "X-Hop, close"},
+                       {"Content-Length", "99"}, {"Transfer-Encoding", "x"},
+                       {"X-Hop", "1"},           {"X-End", "a%0d%0ab"}};
+        const endpoint destination{.address = "127.0.0.1", .port = running->port()};
+        const outgoing_request request{
+            .method = "PUT", .headers = &fields, .body = "abc", .deadline = soon()};
+        CPPUNIT_ASSERT_EQUAL(std::string{"Content-Length=3 Host=service X-End=a%0d%0ab X-Hop=1 "},
+                             pool.send(destination, request).answer.body);
+        remove_hop_by_hop(fields);
+        CPPUNIT_ASSERT_EQUAL(std::string{"Content-Length=3 Host=service X-End=a%0d%0ab "},
+                             pool.send(destination, request).answer.body);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(client_pool_test);
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -3,8 +3,10 @@
 #include "echo_server.hpp"
 #include "raw_caller.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
+#include <stdexcept>
 #include <string>
 #include <sys/resource.h>
 #include <vector>
@@ -17,6 +19,15 @@
     CPPUNIT_TEST_SUITE(server_test);
     CPPUNIT_TEST(pipelined_requests_are_answered_in_order);
     CPPUNIT_TEST(second_bind_fails);
+    CPPUNIT_TEST(new_caller_is_served_beside_many_idle_connections);
+    CPPUNIT_TEST(callers_over_the_limit_are_refused);
+    CPPUNIT_TEST(slow_head_holds_no_worker);
+    CPPUNIT_TEST(slow_body_arrives_whole);
+    CPPUNIT_TEST(refused_body_is_not_read);
+    CPPUNIT_TEST(continue_is_sent_when_the_body_is_read);
+    CPPUNIT_TEST(idle_connections_time_out);
+    CPPUNIT_TEST(handler_exception_is_answered);
+    CPPUNIT_TEST(head_response_has_no_body);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -44,6 +55,167 @@
         CPPUNIT_ASSERT(!second);
         CPPUNIT_ASSERT(second.error().code == core::error_code::unavailable);
     }
+
+    /// Guards against idle connections that hold workers or delay a new caller.
+    void new_caller_is_served_beside_many_idle_connections()
+    {
+        constexpr std::size_t idle_count = 1700;
+        constexpr rlim_t descriptors = 2 * idle_count + 200;
+        rlimit limit{};
+        ::getrlimit(RLIMIT_NOFILE, &limit);
+        limit.rlim_cur = std::max(limit.rlim_cur, std::min(limit.rlim_max, descriptors));
+        CPPUNIT_ASSERT(::setrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur >= descriptors);
+        const auto running = start_server({.workers = 4});
+        std::vector<raw_caller> idle;
+        for (std::size_t count = 0; count < idle_count; ++count)
+        {
+            idle.emplace_back(running->port());
+        }
+        // One request each, so that every connection has been through a worker and back.
+        for (raw_caller& caller : idle)
+        {
+            caller.send("GET /idle HTTP/1.1\r\nHost: h\r\n\r\n");
+        }
+        for (raw_caller& caller : idle)
+        {
+            caller.receive_until("GET /idle ");
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{idle_count}, running->counters().requests.load());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{idle_count}, running->counters().open_connections.load());
+        raw_caller fresh{running->port()};
+        fresh.send("GET /fresh HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT(fresh.receive_all().find("GET /fresh ") != std::string::npos);
+    }
+
+    /// Guards against unbounded connections, and against a refusal that is lost or needs a free worker.
+    void callers_over_the_limit_are_refused()
+    {
+        std::atomic<bool> release{false};
+        const auto running = start_server({.workers = 1, .max_connections = 2},
+                                          [&](incoming_request& request, response& answer)
+                                          {
+                                              release.wait(false);
+                                              echo(request, answer);
+                                          });
+        raw_caller first{running->port()};
+        raw_caller second{running->port()};
+        first.send("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+        raw_caller third{running->port()};
+        third.send("GET /third HTTP/1.1\r\nHost: h\r\n\r\n");
+        const std::string refusal = third.receive_until("}");
+        CPPUNIT_ASSERT(refusal.starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(refusal.find("Laburnum-Verdict: not_run\r\n") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, running->counters().refused_connections.load());
+        release = true;
+        release.notify_all();
+        CPPUNIT_ASSERT(first.receive_until("/first").find("GET /first") != std::string::npos);
+    }
+
+    /// Guards against a caller that sends its head slowly and so blocks the only worker.
+    void slow_head_holds_no_worker()
+    {
+        const auto running = start_server({.workers = 1});
+        raw_caller slow{running->port()};
+        slow.send("GET /slow HTTP/1.1\r\nHo");
+        raw_caller quick{running->port()};
+        quick.send("GET /quick HTTP/1.1\r\nHost: h\r\n\r\n");
+        CPPUNIT_ASSERT(quick.receive_until("/quick").find("GET /quick") != std::string::npos);
+        slow.send("st: h\r\n\r\n");
+        CPPUNIT_ASSERT(slow.receive_until("/slow").find("GET /slow") != std::string::npos);
+    }
+
+    /// Guards against a body that is cut or reordered when it arrives in parts.
+    void slow_body_arrives_whole()
+    {
+        const auto running = start_server({.workers = 1});
+        for (const bool chunked : {false, true})
+        {
+            raw_caller caller{running->port()};
+            caller.send("PUT /up HTTP/1.1\r\nHost: h\r\nConnection: close\r\n");
+            caller.send(chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "Content-Length: 100000\r\n\r\n");
+            std::string expected = "PUT /up ";
+            for (int part = 0; part < 100; ++part)
+            {
+                const std::string bytes(1000, static_cast<char>('a' + part % 26));
+                expected += bytes;
+                caller.send(chunked ? "3e8\r\n" + bytes + "\r\n" : bytes);
+                ::usleep(200);
+            }
+            caller.send(chunked ? "0\r\n\r\n" : "");
+            CPPUNIT_ASSERT(caller.receive_all().ends_with("\r\n\r\n" + expected));
+        }
+    }
+
+    /// Guards against a refusal that waits for the body, and against unread bytes taken for a request.
+    void refused_body_is_not_read()
+    {
+        const auto running =
+            start_server({.workers = 1},
+                         [](incoming_request&, response& answer) {
+                             answer = make_verdict_response(
+                                 {.result = core::outcome::not_run, .why = core::reason::body_too_large});
+                         });
+        raw_caller caller{running->port()};
+        caller.send("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+        caller.send(std::string(500'000, 'a') + "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        const std::string answer = caller.receive_all();
+        CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 413 "));
+        CPPUNIT_ASSERT(answer.find("Connection: close\r\n") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, running->counters().requests.load());
+    }
+
+    /// Guards against a caller that waits for 100 Continue in vain, or gets it together with a refusal.
+    void continue_is_sent_when_the_body_is_read()
+    {
+        const auto running = start_server({.workers = 1});
+        raw_caller caller{running->port()};
+        caller.send("PUT /c HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 100 Continue\r\n\r\n"}, caller.receive_until("\r\n\r\n"));
+        caller.send("abc");
+        CPPUNIT_ASSERT(caller.receive_until("abc").ends_with("PUT /c abc"));
+    }
+
+    /// Guards against connections that stay open for good, with no request or with a part of one.
+    void idle_connections_time_out()
+    {
+        constexpr std::chrono::milliseconds timeout{50};
+        const auto impatient = start_server({.workers = 1, .idle_timeout = timeout, .read_timeout = timeout});
+        raw_caller idle{impatient->port()};
+        raw_caller partial{impatient->port()};
+        partial.send("GET / HT");
+        CPPUNIT_ASSERT_EQUAL(std::string{}, idle.receive_all());
+        CPPUNIT_ASSERT_EQUAL(std::string{}, partial.receive_all());
+        const auto running = start_server({.workers = 1, .read_timeout = timeout});
+        raw_caller body{running->port()};
+        body.send("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na");
+        CPPUNIT_ASSERT(body.receive_all().starts_with("HTTP/1.1 400 "));
+    }
+
+    /// Guards against an exception that ends the worker.
+    void handler_exception_is_answered()
+    {
+        const auto running = start_server({.workers = 1}, [](incoming_request&, response&)
+                                          { throw std::runtime_error{"secret"}; });
+        for (std::uint64_t count = 1; count <= 2; ++count)
+        {
+            raw_caller caller{running->port()};
+            caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+            const std::string answer = caller.receive_until("}");
+            CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 500 "));
+            CPPUNIT_ASSERT(answer.find("secret") == std::string::npos);
+            CPPUNIT_ASSERT_EQUAL(count, running->counters().handler_failures.load());
+        }
+    }
+
+    /// Guards against a body after a HEAD request, which the caller would take for the next response.
+    void head_response_has_no_body()
+    {
+        const auto running = start_server({.workers = 1});
+        raw_caller caller{running->port()};
+        caller.send("HEAD /h HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 8\r\n\r\n"},
+                             caller.receive_all());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_test);
