Refresh a lender's authority before it announces or hands over

Change: both use the present end of the authority. Conclusion: acts in poll and receive were not affected; they refresh it.

--- a/packages/daemon/src/zone_keeper.cpp
+++ b/packages/daemon/src/zone_keeper.cpp
@@ -448,6 +448,7 @@
     const auto target = this->authority ? this->authority->handover_target() : std::nullopt;
     if (this->lender && target)
     {
+        this->lender->set_authority(this->authority_until());
         this->sent_handover = this->lender->stop(*target, now);
     }
     if (this->sent_handover)
@@ -480,9 +481,8 @@
 
 std::uint64_t zone_keeper::lender_epoch(core::time_point now) const
 {
-    return this->lender && this->lender->has_authority(now) && this->lease.record()
-               ? this->lease.record()->epoch
-               : 0;
+    const bool lending = this->lender && this->lender->has_authority(now) && now < this->authority_until();
+    return lending && this->lease.record() ? this->lease.record()->epoch : 0;
 }
 
 core::time_point zone_keeper::authority_until() const
