--- a/packages/core/include/laburnumreach/core/latency_summary.hpp
+++ b/packages/core/include/laburnumreach/core/latency_summary.hpp
@@ -54,6 +54,10 @@
     double sum_seconds() const
     {
         const std::lock_guard lock{this->mutex};
+        if (boost::accumulators::count(this->samples) == 0)
+        {
+            return 0.0;
+        }
         return boost::accumulators::mean(this->samples) *
                static_cast<double>(boost::accumulators::count(this->samples));
     }
