Treat an overtaken takeover as won and lost

Cause: a takeover whose answer was lost had won, and a third daemon replaced it later. Ruled out: clock drift and the lease terms; in the trace they held. Change: a write counts as failed only when the very next version is another's. Otherwise a takeover counts as won and lost. Conclusion: the version distance separates the two cases.

--- a/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
@@ -109,6 +109,7 @@
     void settle_writes(core::time_point now, bool certainly_failed);
     void confirm(core::time_point now, const sent_write& write);
     void reject(const sent_write& write);
+    void supersede(const sent_write& write);
     void take_over(core::time_point now, std::uint64_t epoch);
     void start_lender(core::time_point now, quota::lender_options settings, const quota::handover* from);
     void check_role_lost();
--- a/packages/daemon/src/zone_keeper.cpp
+++ b/packages/daemon/src/zone_keeper.cpp
@@ -213,11 +213,15 @@
         {
             this->confirm(now, write);
         }
-        else if ((certainly_failed && newest) || this->seen_version > write.replaced)
+        else if ((certainly_failed && newest) || this->seen_version == write.replaced + 1)
         {
-            // Another version replaced the one that the write expects, so the write can never take effect.
+            // Another write replaced the version that this one expects, so it can never take effect.
             this->reject(write);
         }
+        else if (this->seen_version > write.replaced)
+        {
+            this->supersede(write);
+        }
         else
         {
             open.push_back(write);
@@ -258,6 +262,22 @@
     }
 }
 
+void zone_keeper::supersede(const sent_write& write)
+{
+    if (write.takeover && this->promise.current_role() == quota::successor_promise::role::attempting)
+    {
+        // The takeover may have won before another daemon replaced it. The lender that this daemon promised
+        // to before may not know yet that it lost the record, so it must not get promises again.
+        this->promise.takeover_won({.record = write.epoch, .handover = 0});
+        this->promise.resign();
+        this->authority.reset();
+    }
+    if (this->authority)
+    {
+        this->authority->write_rejected(write.number);
+    }
+}
+
 void zone_keeper::take_over(core::time_point now, std::uint64_t epoch)
 {
     const quota::lender_epoch own{.record = epoch, .handover = 0};
