--- a/packages/config/tests/fleet_config_faults_test.cpp
+++ b/packages/config/tests/fleet_config_faults_test.cpp
@@ -97,6 +97,7 @@
     CPPUNIT_TEST_SUITE(fleet_config_faults_test);
     CPPUNIT_TEST(each_fault_is_reported_at_its_line);
     CPPUNIT_TEST(all_faults_are_reported);
+    CPPUNIT_TEST(similar_entries_are_accepted);
     CPPUNIT_TEST(sizes_are_bounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -129,6 +130,26 @@
         CPPUNIT_ASSERT(lines == (std::vector<std::size_t>{1, 4, 5, 6}));
     }
 
+    /// Guards against entries that only look repeated: names and paths of the same length.
+    void similar_entries_are_accepted()
+    {
+        std::string text = "zones = [\"a\", \"b\"]\n";
+        for (int entry = 10; entry < 40; ++entry)
+        {
+            const std::string number = std::to_string(entry);
+            text += "[[service]]\nname = \"s" + number + "\"\n[[tenant]]\nname = \"t" + number +
+                    "\"\nrate = 1\nburst = 1\n";
+            for (const std::string_view method : {"GET", "PUT"})
+            {
+                text += "[[route]]\nservice = \"s" + std::to_string(10 + entry % 2) + "\"\nname = \"";
+                text += std::string{method} + number + "\"\nmethod = \"" + std::string{method} +
+                        "\"\npath = \"/p" + number + "/\"\n";
+            }
+        }
+        const auto parsed = parse_fleet_config(text);
+        CPPUNIT_ASSERT_MESSAGE(parsed ? "" : to_string(parsed.error()), parsed.has_value());
+    }
+
     void sizes_are_bounded()
     {
         CPPUNIT_ASSERT(!parse_fleet_config(std::string(fleet_limits::text_bytes + 1, '#')));
--- a/packages/config/tests/fleet_edit_test.cpp
+++ b/packages/config/tests/fleet_edit_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST_SUITE(fleet_edit_test);
     CPPUNIT_TEST(writing_and_reading_keeps_every_value);
     CPPUNIT_TEST(random_edits_keep_the_text_valid_and_show_in_the_diff);
+    CPPUNIT_TEST(random_texts_are_refused_or_kept);
     CPPUNIT_TEST(wrong_edits_change_nothing);
     CPPUNIT_TEST(an_edit_out_of_range_is_not_written);
     CPPUNIT_TEST(a_replaced_digest_is_withdrawn_and_granted);
@@ -55,6 +56,30 @@
         }
     }
 
+    /// Guards against a text that is accepted with another meaning than the one that is written back.
+    void random_texts_are_refused_or_kept()
+    {
+        constexpr std::string_view inserted = "[]\"'=.#\\\n,0a-\xff ";
+        int accepted = 0;
+        for (std::uint64_t seed = 1; seed <= 2000; ++seed)
+        {
+            core::random_source random{seed};
+            std::string text{sample_text};
+            for (std::uint64_t edits = 1 + random.below(3); edits > 0; --edits)
+            {
+                const std::size_t place = random.below(text.size());
+                text.replace(place, random.below(3), random.below(3),
+                             inserted[random.below(inserted.size())]);
+            }
+            const auto parsed = parse_fleet_config(text);
+            const std::string message = "seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_MESSAGE(message, parsed ? *parse_fleet_config(to_toml(*parsed)) == *parsed
+                                                   : !parsed.error().empty());
+            accepted += parsed ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(accepted > 100 && accepted < 1900);
+    }
+
     void wrong_edits_change_nothing()
     {
         fleet_config config = *parse_fleet_config(sample_text);
--- a/packages/platform/tests/http_object_store_test.cpp
+++ b/packages/platform/tests/http_object_store_test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(a_damaged_answer_to_a_write_leaves_its_fate_unknown);
     CPPUNIT_TEST(a_silent_platform_leaves_only_writes_unknown);
     CPPUNIT_TEST(a_refused_connection_has_no_effect);
+    CPPUNIT_TEST(a_watch_is_interrupted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -135,6 +136,28 @@
         auto store = connect(listener.port);
         CPPUNIT_ASSERT(store.put_if("x", std::nullopt, "1").error().code == core::error_code::unavailable);
     }
+
+    /// Guards against a shutdown that waits for the end of a long poll.
+    void a_watch_is_interrupted()
+    {
+        const silent_listener listener;
+        auto store = connect(listener.port);
+        std::atomic<bool> ended = false;
+        std::optional<core::error> error;
+        core::posix_thread watcher{{.name = "watcher"},
+                                   [&]
+                                   {
+                                       error = store.watch("x", 0, std::chrono::hours{1}).error();
+                                       ended = true;
+                                   }};
+        while (!ended)
+        {
+            store.interrupt();
+            std::this_thread::yield();
+        }
+        watcher.join();
+        CPPUNIT_ASSERT(error->code == core::error_code::unavailable);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_object_store_test);
