Simplify the test text of similar entries

Cause: the linter reported string concatenation in the test added last. Change: the text is built with a stream; the checks are the same.

--- a/packages/config/tests/fleet_config_faults_test.cpp
+++ b/packages/config/tests/fleet_config_faults_test.cpp
@@ -2,6 +2,7 @@
 #include "sample_text.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <sstream>
 
 namespace laburnumreach::config
 {
@@ -133,20 +134,19 @@
     /// Guards against entries that only look repeated: names and paths of the same length.
     void similar_entries_are_accepted()
     {
-        std::string text = "zones = [\"a\", \"b\"]\n";
+        std::ostringstream text;
+        text << "zones = ['a', 'b']\n";
         for (int entry = 10; entry < 40; ++entry)
         {
-            const std::string number = std::to_string(entry);
-            text += "[[service]]\nname = \"s" + number + "\"\n[[tenant]]\nname = \"t" + number +
-                    "\"\nrate = 1\nburst = 1\n";
+            text << "[[service]]\nname = 's" << entry << "'\n[[tenant]]\nname = 't" << entry
+                 << "'\nrate = 1\nburst = 1\n";
             for (const std::string_view method : {"GET", "PUT"})
             {
-                text += "[[route]]\nservice = \"s" + std::to_string(10 + entry % 2) + "\"\nname = \"";
-                text += std::string{method} + number + "\"\nmethod = \"" + std::string{method} +
-                        "\"\npath = \"/p" + number + "/\"\n";
+                text << "[[route]]\nservice = 's" << 10 + entry % 2 << "'\nname = '" << method << entry
+                     << "'\nmethod = '" << method << "'\npath = '/p" << entry << "/'\n";
             }
         }
-        const auto parsed = parse_fleet_config(text);
+        const auto parsed = parse_fleet_config(text.str());
         CPPUNIT_ASSERT_MESSAGE(parsed ? "" : to_string(parsed.error()), parsed.has_value());
     }
 
