--- a/packages/standin/include/laburnumreach/standin/checked_answer.hpp
+++ b/packages/standin/include/laburnumreach/standin/checked_answer.hpp
@@ -11,9 +11,9 @@
 /// What an answer of the upstream stand-in says.
 struct checked_answer
 {
-    std::string service;
-    std::string instance;
-    std::string request_id;
+    std::string service{};
+    std::string instance{};
+    std::string request_id{};
 };
 
 /// Returns the value that ties an answer to its request, as 16 hex digits.
--- a/packages/standin/include/laburnumreach/standin/controlled_server.hpp
+++ b/packages/standin/include/laburnumreach/standin/controlled_server.hpp
@@ -17,9 +17,9 @@
 /// Where a stand-in listens.
 struct controlled_server_options
 {
-    loopback_address listen; ///< Port 0 picks any free port.
+    loopback_address listen{}; ///< Port 0 picks any free port.
     /// Port of a second listener for /control, which still answers while connections are refused.
-    std::optional<std::uint16_t> control_port;
+    std::optional<std::uint16_t> control_port{};
     std::size_t most_connections = 400; ///< One thread each.
 };
 
--- a/packages/standin/include/laburnumreach/standin/dependency_calls.hpp
+++ b/packages/standin/include/laburnumreach/standin/dependency_calls.hpp
@@ -20,12 +20,12 @@
     /// One call.
     struct target
     {
-        std::string method;
-        std::string path; ///< "/<service>/<path>"
+        std::string method{};
+        std::string path{}; ///< "/<service>/<path>"
     };
 
-    std::string path_prefix;
-    std::vector<target> targets;
+    std::string path_prefix{};
+    std::vector<target> targets{};
 };
 
 /// Parses "<path prefix>=[METHOD:]<service>/<path>,...". Without a method the call is a GET.
@@ -38,10 +38,10 @@
     /// What the calls take over from the request.
     struct context
     {
-        std::string handle;          ///< Value of Laburnum-Call.
-        std::string nonce;           ///< Each call sends "<nonce>/<number>" as its Test-Nonce.
-        std::string idempotency_key; ///< Calls other than GET send "<key>/<number>".
-        core::duration timeout{0};   ///< For all calls together.
+        std::string handle{};          ///< Value of Laburnum-Call.
+        std::string nonce{};           ///< Each call sends "<nonce>/<number>" as its Test-Nonce.
+        std::string idempotency_key{}; ///< Calls other than GET send "<key>/<number>".
+        core::duration timeout{0};     ///< For all calls together.
     };
 
     /// How the calls ended.
@@ -57,9 +57,9 @@
     struct result
     {
         outcome ended = outcome::done;
-        std::string path;
-        int status = 0;           ///< Zero without an answer.
-        httplib::Headers verdict; ///< Laburnum-Verdict, Laburnum-Reason and Retry-After, as received.
+        std::string path{};
+        int status = 0;             ///< Zero without an answer.
+        httplib::Headers verdict{}; ///< Laburnum-Verdict, Laburnum-Reason and Retry-After, as received.
     };
 
     /// @param rules the longest matching prefix applies
--- a/packages/standin/include/laburnumreach/standin/execution_record.hpp
+++ b/packages/standin/include/laburnumreach/standin/execution_record.hpp
@@ -21,11 +21,11 @@
     /// What identifies a request.
     struct identity
     {
-        std::string request_id;
-        std::string idempotency_key;
-        std::string nonce;
-        std::string tenant;
-        std::string path;
+        std::string request_id{};
+        std::string idempotency_key{};
+        std::string nonce{};
+        std::string tenant{};
+        std::string path{};
     };
 
     /// What happened to a request.
@@ -67,8 +67,8 @@
 private:
     struct counts
     {
-        std::string tenant;
-        std::string path;
+        std::string tenant{};
+        std::string path{};
         std::uint64_t received = 0;
         std::uint64_t started = 0;
         std::uint64_t finished = 0;
@@ -80,9 +80,9 @@
     /// A forbidden text that was found.
     struct finding
     {
-        std::string request_id;
-        std::string tenant;
-        std::string where;
+        std::string request_id{};
+        std::string tenant{};
+        std::string where{};
         std::size_t text_index = 0;
     };
 
--- a/packages/standin/include/laburnumreach/standin/load_attempt.hpp
+++ b/packages/standin/include/laburnumreach/standin/load_attempt.hpp
@@ -35,16 +35,16 @@
     std::size_t phase = 0;   ///< These are indices into the scenario.
     std::size_t tenant = 0;
     std::size_t kind = 0;
-    std::string nonce;           ///< Unique for each attempt.
-    std::string idempotency_key; ///< The same for retries and duplicates.
-    core::duration intended{0};  ///< When the request was to be sent first, since the start of the run.
-    core::duration due{0};       ///< When this attempt was to be sent.
-    core::duration done{0};      ///< When it ended.
+    std::string nonce{};           ///< Unique for each attempt.
+    std::string idempotency_key{}; ///< The same for retries and duplicates.
+    core::duration intended{0};    ///< When the request was to be sent first, since the start of the run.
+    core::duration due{0};         ///< When this attempt was to be sent.
+    core::duration done{0};        ///< When it ended.
     ending ended = ending::not_sent;
     int status = 0;
-    std::string verdict;           ///< Laburnum-Verdict
-    std::string reason;            ///< Laburnum-Reason, or status_<n> for a refusal without it.
-    std::string request_id;        ///< Laburnum-Request-Id
+    std::string verdict{};         ///< Laburnum-Verdict
+    std::string reason{};          ///< Laburnum-Reason, or status_<n> for a refusal without it.
+    std::string request_id{};      ///< Laburnum-Request-Id
     core::duration retry_after{0}; ///< Zero when no retry was advised.
 };
 
--- a/packages/standin/include/laburnumreach/standin/load_report.hpp
+++ b/packages/standin/include/laburnumreach/standin/load_report.hpp
@@ -22,17 +22,17 @@
     /// Counts of the requests of one tenant, priority, kind or phase.
     struct group
     {
-        std::string by; ///< all, tenant, priority, kind, phase or duplicates
-        std::string name;
+        std::string by{}; ///< all, tenant, priority, kind, phase or duplicates
+        std::string name{};
         std::uint64_t requests = 0;
         std::uint64_t attempts = 0;
-        std::uint64_t whole = 0;                       ///< Requests with a whole answer.
-        std::map<std::string, std::uint64_t> endings;  ///< Attempts by their end.
-        std::map<std::string, std::uint64_t> reasons;  ///< Refused attempts by Laburnum-Reason.
-        std::map<std::string, std::uint64_t> verdicts; ///< Answered attempts by Laburnum-Verdict.
+        std::uint64_t whole = 0;                         ///< Requests with a whole answer.
+        std::map<std::string, std::uint64_t> endings{};  ///< Attempts by their end.
+        std::map<std::string, std::uint64_t> reasons{};  ///< Refused attempts by Laburnum-Reason.
+        std::map<std::string, std::uint64_t> verdicts{}; ///< Answered attempts by Laburnum-Verdict.
         /// From the intended time of the first attempt to the whole answer. Kept one by one, since a
         /// streaming estimate of quantiles assumes that the distribution stays the same.
-        std::vector<core::duration> latencies;
+        std::vector<core::duration> latencies{};
 
         /// Returns a quantile of the latencies; zero without any.
         core::duration quantile(double share) const;
@@ -45,8 +45,8 @@
         std::uint64_t attempts = 0; ///< By the time at which they were due.
         std::uint64_t whole = 0;    ///< Requests by the time of their whole answer.
         std::uint64_t refused = 0;  ///< Attempts by the time of the refusal.
-        std::map<std::string, std::uint64_t> whole_by_priority;
-        std::map<std::string, std::uint64_t> whole_by_tenant;
+        std::map<std::string, std::uint64_t> whole_by_priority{};
+        std::map<std::string, std::uint64_t> whole_by_tenant{};
     };
 
     static constexpr std::chrono::milliseconds bucket_length{100};
--- a/packages/standin/include/laburnumreach/standin/load_scenario.hpp
+++ b/packages/standin/include/laburnumreach/standin/load_scenario.hpp
@@ -22,7 +22,7 @@
     /// A part of the run; the phases follow each other.
     struct phase
     {
-        std::string name;
+        std::string name{};
         milliseconds duration{0};
         double multiplier = 1.0; ///< Of the rate, or of the number of closed-loop callers.
     };
@@ -46,21 +46,21 @@
     /// A tenant whose callers send.
     struct tenant
     {
-        std::string name;
-        std::string key;
+        std::string name{};
+        std::string key{};
         key_place place = key_place::bearer;
         double share = 1.0; ///< Of the whole rate, relative to the other tenants.
-        std::vector<surge> surges;
+        std::vector<surge> surges{};
     };
 
     /// A kind of request.
     struct request_kind
     {
-        std::string name;
-        std::string service;
-        std::string method;
-        std::string path; ///< After the service name; may have a query.
-        std::string priority;
+        std::string name{};
+        std::string service{};
+        std::string method{};
+        std::string path{}; ///< After the service name; may have a query.
+        std::string priority{};
         double share = 1.0; ///< Relative to the other kinds.
         std::size_t body_bytes = 0;
         bool idempotent = true; ///< Otherwise each request has an Idempotency-Key of its own.
@@ -83,11 +83,11 @@
     std::size_t workers = 200; ///< Threads; each holds at most one connection at a time.
     std::size_t most_requests = 1'000'000;
     milliseconds drain{5000}; ///< Longest wait for open requests after the last phase.
-    std::vector<loopback_address> daemons;
-    std::vector<loopback_address> upstreams; ///< Their records are reset before and read after the run.
-    std::vector<phase> phases;
-    std::vector<tenant> tenants;
-    std::vector<request_kind> kinds;
+    std::vector<loopback_address> daemons{};
+    std::vector<loopback_address> upstreams{}; ///< Their records are reset before and read after the run.
+    std::vector<phase> phases{};
+    std::vector<tenant> tenants{};
+    std::vector<request_kind> kinds{};
     retry_mode retry = retry_mode::none;
     std::size_t most_retries = 3;
     double duplicate_share = 0.0;      ///< Of the requests with an Idempotency-Key.
--- a/packages/standin/include/laburnumreach/standin/loopback_server.hpp
+++ b/packages/standin/include/laburnumreach/standin/loopback_server.hpp
@@ -23,7 +23,7 @@
 /// Settings of a loopback_server.
 struct loopback_server_options
 {
-    loopback_address listen; ///< Port 0 picks any free port.
+    loopback_address listen{}; ///< Port 0 picks any free port.
     /// One thread serves one open connection.
     std::size_t most_connections = 400;
 };
--- a/packages/standin/include/laburnumreach/standin/object_store.hpp
+++ b/packages/standin/include/laburnumreach/standin/object_store.hpp
@@ -25,17 +25,17 @@
     {
         std::uint64_t version = 0;
         bool deleted = false;
-        std::string writer;               ///< Daemon id of the caller.
-        std::size_t bytes = 0;            ///< Size of the value.
-        std::optional<std::string> value; ///< Dropped from old records, see history_bytes.
+        std::string writer{};               ///< Daemon id of the caller.
+        std::size_t bytes = 0;              ///< Size of the value.
+        std::optional<std::string> value{}; ///< Dropped from old records, see history_bytes.
     };
 
     /// An object as a caller sees it.
     struct object
     {
-        std::string name;
+        std::string name{};
         std::uint64_t version = 0;
-        std::string value;
+        std::string value{};
     };
 
     /// Values of an object's history are dropped, oldest first, beyond this total.
@@ -71,7 +71,7 @@
 private:
     struct entry
     {
-        std::vector<write_record> writes;
+        std::vector<write_record> writes{};
         std::size_t first_with_value = 0;
         std::size_t held_bytes = 0;
     };
--- a/packages/standin/include/laburnumreach/standin/platform_faults.hpp
+++ b/packages/standin/include/laburnumreach/standin/platform_faults.hpp
@@ -25,8 +25,8 @@
     /// Who sends a request, from the headers Laburnum-Daemon and Laburnum-Zone.
     struct caller_identity
     {
-        std::string daemon;
-        std::string zone;
+        std::string daemon{};
+        std::string zone{};
     };
 
     /// What a caller meets instead of an answer.
@@ -72,13 +72,13 @@
     struct fault
     {
         kind what = kind::outage;
-        std::vector<std::string> daemons;
-        std::vector<std::string> zones;
+        std::vector<std::string> daemons{};
+        std::vector<std::string> zones{};
         outage_mode mode = outage_mode::status;
         std::chrono::milliseconds delay{0};
         std::size_t versions_behind = 0;
         double probability = 1.0;
-        std::optional<std::uint64_t> remaining; ///< No value: without bound.
+        std::optional<std::uint64_t> remaining{}; ///< No value: without bound.
     };
 
     static core::result<std::vector<fault>> parse(std::string_view text);
--- a/packages/standin/include/laburnumreach/standin/platform_standin.hpp
+++ b/packages/standin/include/laburnumreach/standin/platform_standin.hpp
@@ -17,7 +17,7 @@
 /// Settings of a platform_standin.
 struct platform_standin_options
 {
-    controlled_server_options server;
+    controlled_server_options server{};
     double writes_per_second = 400.0;
     double reads_per_second = 2000.0;
     std::size_t most_value_bytes = 1024 * 1024;
--- a/packages/standin/include/laburnumreach/standin/run_judgement.hpp
+++ b/packages/standin/include/laburnumreach/standin/run_judgement.hpp
@@ -24,9 +24,9 @@
     std::size_t wrong_tenants = 0;     ///< Requests that ran for another tenant than the sender.
     std::size_t keys_seen = 0;         ///< Places where an upstream saw a caller's key.
     std::uint64_t damaged_dependency_answers = 0;
-    double work_ms = 0.0;              ///< Time for which requests of this run held slots.
-    double wasted_work_ms = 0.0;       ///< The part of it for attempts without a whole answer.
-    std::vector<std::string> examples; ///< A few findings, in words.
+    double work_ms = 0.0;                ///< Time for which requests of this run held slots.
+    double wasted_work_ms = 0.0;         ///< The part of it for attempts without a whole answer.
+    std::vector<std::string> examples{}; ///< A few findings, in words.
 
     /// Returns whether the records are complete and show no violation.
     bool clean() const;
--- a/packages/standin/include/laburnumreach/standin/service_time.hpp
+++ b/packages/standin/include/laburnumreach/standin/service_time.hpp
@@ -25,7 +25,7 @@
 /// Service time of the paths that start with a prefix.
 struct service_time_rule
 {
-    std::string path_prefix;
+    std::string path_prefix{};
     bool exponential = false;
     core::duration mean{0};
 };
--- a/packages/standin/include/laburnumreach/standin/upstream_faults.hpp
+++ b/packages/standin/include/laburnumreach/standin/upstream_faults.hpp
@@ -49,7 +49,7 @@
         bool refuse = false;
         std::size_t reader_bytes_per_second = 0; ///< Zero is unbounded.
         std::size_t writer_bytes_per_second = 0; ///< Zero is unbounded.
-        std::optional<double> announced_load;    ///< Announced instead of the true load.
+        std::optional<double> announced_load{};  ///< Announced instead of the true load.
         std::size_t load_lag = 0;                ///< Number of announcements by which the load lags.
         bool stop_announcing = false;
         std::int64_t length_delta = -8; ///< Declared minus sent bytes of a wrong length.
@@ -71,7 +71,7 @@
     struct chance
     {
         double probability = 1.0;
-        std::optional<std::uint64_t> remaining; ///< No value: without bound.
+        std::optional<std::uint64_t> remaining{}; ///< No value: without bound.
     };
 
     mutable std::mutex mutex;
--- a/packages/standin/include/laburnumreach/standin/upstream_standin.hpp
+++ b/packages/standin/include/laburnumreach/standin/upstream_standin.hpp
@@ -24,21 +24,21 @@
 /// Settings of an upstream_standin.
 struct upstream_standin_options
 {
-    controlled_server_options server;
+    controlled_server_options server{};
     std::optional<loopback_address>
-        daemon; ///< Local listener of the daemon; none: no announcements or calls.
+        daemon{}; ///< Local listener of the daemon; none: no announcements or calls.
     std::string service = "service";
     std::string instance = "service-1";
     std::string zone = "a";
     std::size_t slots = 25; ///< Requests that run at the same time; further ones wait in order.
-    std::vector<service_time_rule> service_times;
+    std::vector<service_time_rule> service_times{};
     core::duration other_service_time = std::chrono::milliseconds{10};
-    std::vector<slow_period> slow_periods; ///< For example the cold start.
-    std::vector<dependency_rule> dependencies;
+    std::vector<slow_period> slow_periods{}; ///< For example the cold start.
+    std::vector<dependency_rule> dependencies{};
     double work_before_calls = 0.5; ///< Share of the service time before the calls; the rest follows them.
     core::duration announce_interval = std::chrono::seconds{1};
     std::size_t answer_bytes = 0; ///< Size of answers without a parameter answer_bytes.
-    std::vector<std::string> forbidden_texts;
+    std::vector<std::string> forbidden_texts{};
     std::uint64_t seed = 1;
 };
 
--- a/packages/standin/src/loopback_server.cpp
+++ b/packages/standin/src/loopback_server.cpp
@@ -36,6 +36,14 @@
     return core::error{.code = core::error_code::io, .message = what + ": " + std::strerror(errno)};
 }
 
+/// Ends a listening socket at once. Without the shutdown it accepts until the poll of the other thread
+/// returns.
+void close_listener(int descriptor)
+{
+    ::shutdown(descriptor, SHUT_RDWR);
+    ::close(descriptor);
+}
+
 } // namespace
 
 loopback_server::loopback_server(const loopback_server_options& options, request_handler handle_request)
@@ -91,7 +99,7 @@
         }
         if (this->listener >= 0)
         {
-            ::close(std::exchange(this->listener, -1));
+            close_listener(std::exchange(this->listener, -1));
         }
     }
     this->workers.stop();
@@ -102,7 +110,7 @@
     const std::lock_guard lock{this->mutex};
     if (refuse && this->listener >= 0)
     {
-        ::close(std::exchange(this->listener, -1));
+        close_listener(std::exchange(this->listener, -1));
     }
     else if (!refuse && this->listener < 0 && !this->stopping)
     {
--- a/packages/standin/src/upstream_standin.cpp
+++ b/packages/standin/src/upstream_standin.cpp
@@ -161,12 +161,13 @@
     {
         connected = current.caller.sleep(whole - before);
     }
+    const core::duration worked = core::boot_clock::now() - begin;
+    this->slots.release();
     this->record.add(current.identity,
                      !connected ? execution_record::event::cancelled
                      : complete ? execution_record::event::finished
                                 : execution_record::event::failed,
-                     core::boot_clock::now() - begin);
-    this->slots.release();
+                     worked);
     if (!connected)
     {
         current.caller.discard_answer();
