--- a/packages/http/include/laburnumreach/http/client_pool_options.hpp
+++ b/packages/http/include/laburnumreach/http/client_pool_options.hpp
@@ -17,7 +17,8 @@
     /// Longest connect; the deadline of the request also bounds it.
     std::chrono::milliseconds connect_timeout{1000};
     std::size_t max_response_head_bytes = 64 * 1024;
-    /// Unacknowledged data or unanswered probes for this long end the connection.
+    /// A peer that acknowledges no data for this long is given up. A connection without traffic is probed
+    /// after this time (whole seconds) and reset 2 s later.
     std::chrono::milliseconds silent_peer_timeout{2000};
 };
 
--- a/packages/http/include/laburnumreach/http/server_options.hpp
+++ b/packages/http/include/laburnumreach/http/server_options.hpp
@@ -27,7 +27,8 @@
     std::size_t max_head_bytes = 16 * 1024;
     /// The library's backlog of 5 makes callers wait seconds for the retransmission of a dropped SYN.
     int backlog = 4096;
-    /// Unacknowledged data or unanswered probes for this long end the connection.
+    /// A peer that acknowledges no data for this long is given up. A connection without traffic is probed
+    /// after this time (whole seconds) and reset 2 s later.
     std::chrono::milliseconds silent_peer_timeout{2000};
     /// How long a refused caller may go on sending before its connection is closed. Closing at once would
     /// send a reset, which can destroy the response before the caller reads it.
--- a/packages/http/src/tcp_socket.cpp
+++ b/packages/http/src/tcp_socket.cpp
@@ -57,6 +57,7 @@
     {
         this->close();
         this->handle = std::exchange(other.handle, -1);
+        this->silent_timeout = other.silent_timeout;
     }
     return *this;
 }
@@ -74,17 +75,16 @@
     }
 }
 
-void tcp_socket::set_options(std::chrono::milliseconds silent_peer_timeout) const noexcept
+void tcp_socket::set_options(std::chrono::milliseconds silent_peer_timeout) noexcept
 {
-    const int milliseconds = static_cast<int>(silent_peer_timeout.count());
-    const int seconds = std::max(1, milliseconds / 1000);
+    this->silent_timeout = silent_peer_timeout;
+    const auto whole = std::chrono::duration_cast<std::chrono::seconds>(silent_peer_timeout);
+    const int seconds = std::max(1, static_cast<int>(whole.count()));
     set_option(this->handle, IPPROTO_TCP, TCP_NODELAY, 1);
     set_option(this->handle, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(this->handle, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
     set_option(this->handle, IPPROTO_TCP, TCP_KEEPINTVL, 1);
-    // With TCP_USER_TIMEOUT set, the time decides and not the number of probes.
     set_option(this->handle, IPPROTO_TCP, TCP_KEEPCNT, 2);
-    set_option(this->handle, IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
 }
 
 io_result tcp_socket::receive(std::span<char> buffer) const noexcept
@@ -139,15 +139,36 @@
     ::shutdown(this->handle, SHUT_WR);
 }
 
+bool tcp_socket::peer_is_silent() const noexcept
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    ::getsockopt(this->handle, IPPROTO_TCP, TCP_INFO, &info, &size);
+    // A peer that does not read still acknowledges what was sent, so nothing is unacknowledged then.
+    return info.tcpi_unacked > 0 &&
+           std::chrono::milliseconds{info.tcpi_last_ack_recv} >= this->silent_timeout;
+}
+
 tcp_socket::readiness tcp_socket::wait(short events, core::time_point until, int watched) const noexcept
 {
     std::array<pollfd, 2> entries{pollfd{.fd = this->handle, .events = events, .revents = 0},
                                   pollfd{.fd = watched, .events = POLLRDHUP, .revents = 0}};
+    constexpr core::duration check_interval = std::chrono::milliseconds{250};
+    const bool check = this->silent_timeout.count() > 0;
+    core::time_point check_at = check ? core::boot_clock::now() + this->silent_timeout : until;
     for (;;)
     {
-        const std::optional<timespec> left = time_left(until);
+        const std::optional<timespec> left = time_left(std::min(until, check_at));
         const int ready = ::ppoll(entries.data(), entries.size(), left ? &*left : nullptr, nullptr);
-        if (ready == 0)
+        if (ready == 0 && check_at < until)
+        {
+            if (this->peer_is_silent())
+            {
+                return {.status = io_status::silent};
+            }
+            check_at += check_interval;
+        }
+        else if (ready == 0)
         {
             return {.status = io_status::timed_out};
         }
@@ -159,7 +180,7 @@
             }
             return {.status = io_status::hung_up};
         }
-        if (errno != EINTR)
+        if (ready < 0 && errno != EINTR)
         {
             return {.status = io_status::failed};
         }
--- a/packages/http/src/tcp_socket.hpp
+++ b/packages/http/src/tcp_socket.hpp
@@ -22,7 +22,7 @@
     would_block,
     closed,    ///< The peer closed its side.
     failed,    ///< Reset or another error.
-    silent,    ///< The system gave up on a peer that acknowledges nothing.
+    silent,    ///< The peer acknowledges nothing.
     timed_out, ///< The time given to wait ran out.
     hung_up,   ///< The watched descriptor hung up.
 };
@@ -40,7 +40,10 @@
 public:
     tcp_socket() = default;
     explicit tcp_socket(int descriptor) noexcept : handle(descriptor) {}
-    tcp_socket(tcp_socket&& other) noexcept : handle(std::exchange(other.handle, -1)) {}
+    tcp_socket(tcp_socket&& other) noexcept
+        : handle(std::exchange(other.handle, -1)), silent_timeout(other.silent_timeout)
+    {
+    }
     tcp_socket& operator=(tcp_socket&& other) noexcept;
     tcp_socket(const tcp_socket&) = delete;
     tcp_socket& operator=(const tcp_socket&) = delete;
@@ -50,9 +53,10 @@
     bool is_open() const noexcept { return this->handle >= 0; }
     void close() noexcept;
 
-    /// Switches on TCP_NODELAY, keep-alive probes and TCP_USER_TIMEOUT.
-    /// @param silent_peer_timeout when a silent peer is given up
-    void set_options(std::chrono::milliseconds silent_peer_timeout) const noexcept;
+    /// Switches on TCP_NODELAY and keep-alive probes.
+    /// @param silent_peer_timeout when wait gives up a peer that acknowledges nothing, and when the system
+    /// begins to probe a connection without traffic; after two lost probes, 1 s apart, it is reset
+    void set_options(std::chrono::milliseconds silent_peer_timeout) noexcept;
 
     /// Receives what is there, without waiting.
     io_result receive(std::span<char> buffer) const noexcept;
@@ -80,12 +84,18 @@
         short events = 0; ///< POLLIN, POLLOUT, POLLERR, POLLHUP.
     };
 
-    /// Waits for events of poll().
+    /// Waits for events of poll(), and for a peer that has acknowledged nothing during the wait.
+    ///
+    /// TCP_USER_TIMEOUT is not used for this: it also ends a connection to a live peer that does not read,
+    /// which would cut uploads to a busy upstream.
     /// @param watched a descriptor whose hang-up ends the wait, or -1
     readiness wait(short events, core::time_point until, int watched = -1) const noexcept;
 
 private:
+    bool peer_is_silent() const noexcept;
+
     int handle = -1;
+    std::chrono::milliseconds silent_timeout{0}; ///< Zero for no check.
 };
 
 } // namespace laburnumreach::http
--- a/packages/http/tests/client_pool_test.cpp
+++ b/packages/http/tests/client_pool_test.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
+#include <linux/filter.h>
 
 namespace laburnumreach::http
 {
@@ -24,6 +25,8 @@
     CPPUNIT_TEST(cancel_ends_a_waiting_exchange);
     CPPUNIT_TEST(hang_up_of_the_caller_ends_a_waiting_exchange);
     CPPUNIT_TEST(quiet_connection_is_reported_once);
+    CPPUNIT_TEST(peer_that_acknowledges_nothing_is_silent);
+    CPPUNIT_TEST(peer_that_does_not_read_is_not_silent);
     CPPUNIT_TEST(own_fields_are_not_taken_over);
     CPPUNIT_TEST_SUITE_END();
 
@@ -185,12 +188,12 @@
     void hang_up_of_the_caller_ends_a_waiting_exchange()
     {
         std::promise<core::verdict> seen;
+        std::promise<void> arrived;
         client_pool pool{client_pool_options{}};
-        raw_caller* gone = nullptr;
-        scripted_peer peer{[&gone](scripted_peer& self, int descriptor, int)
+        scripted_peer peer{[&arrived](scripted_peer& self, int descriptor, int)
                            {
                                self.receive_request(descriptor);
-                               gone->close();
+                               arrived.set_value();
                                scripted_peer::wait_for_close(descriptor);
                            }};
         const auto running =
@@ -202,8 +205,9 @@
                              seen.set_value(pool.send(peer.where(), forwarded).verdict());
                          });
         raw_caller caller{running->port()};
-        gone = &caller;
         caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        arrived.get_future().wait();
+        caller.close();
         CPPUNIT_ASSERT(seen.get_future().get() == (core::verdict{.result = core::outcome::may_have_run,
                                                                  .why = core::reason::cancelled}));
     }
@@ -235,6 +239,49 @@
         CPPUNIT_ASSERT(given_up.progress == exchange_progress::sent);
     }
 
+    /// Guards against a connection that went silent for good while new ones work.
+    void peer_that_acknowledges_nothing_is_silent()
+    {
+        std::promise<void> deaf;
+        std::promise<void> finished;
+        scripted_peer peer{[&](scripted_peer&, int descriptor, int)
+                           {
+                               // Drops every further segment before the peer's system sees it.
+                               sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+                               const sock_fprog program{.len = 1, .filter = &drop_all};
+                               ::setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                                            sizeof program);
+                               deaf.set_value();
+                               finished.get_future().wait();
+                           }};
+        client_pool pool{client_pool_options{.silent_peer_timeout = std::chrono::milliseconds{200}}};
+        const bool connected = pool.probe(peer.where(), std::chrono::seconds{10});
+        deaf.get_future().wait();
+        const core::verdict verdict = pool.send(peer.where(), {.deadline = soon()}).verdict();
+        finished.set_value();
+        CPPUNIT_ASSERT(connected);
+        CPPUNIT_ASSERT(verdict == (core::verdict{.result = core::outcome::may_have_run,
+                                                 .why = core::reason::upstream_silent}));
+    }
+
+    /// Guards against an upload that is cut because a busy upstream reads late (a closed receive window).
+    void peer_that_does_not_read_is_not_silent()
+    {
+        const std::string body(16 * 1024 * 1024, 'b');
+        const auto running = start_server({.workers = 1},
+                                          [](incoming_request& request, response& answer)
+                                          {
+                                              ::sleep(1);
+                                              echo(request, answer);
+                                          });
+        client_pool pool{client_pool_options{.silent_peer_timeout = std::chrono::milliseconds{200}}};
+        const exchange_result result = pool.send(
+            {.address = "127.0.0.1", .port = running->port()},
+            {.method = "PUT", .body = body, .deadline = soon(), .max_response_body_bytes = 2 * body.size()});
+        CPPUNIT_ASSERT(result.complete());
+        CPPUNIT_ASSERT_EQUAL(body.size() + std::string{"PUT / "}.size(), result.answer.body.size());
+    }
+
     /// Guards against framing fields of the caller that contradict the forwarded body.
     void own_fields_are_not_taken_over()
     {
