Lose an inherited role when a third daemon takes the record over

Change: an inherited role ends as soon as the record names a daemon other than the one that handed over. Idle connections that timed out are closed.

--- a/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
@@ -141,7 +141,8 @@
     core::time_point next_handover_at{};
     /// Epoch of the lender whose handover was accepted.
     std::optional<quota::lender_epoch> accepted_epoch;
-    /// The record still names the daemon that handed over, until the first own write.
+    std::optional<quota::daemon_ref> predecessor; ///< The daemon that handed over.
+    /// No own write of the record has been confirmed since the handover.
     bool inherited = false;
     bool candidate = false;
     bool handed_over = false;
--- a/packages/daemon/src/control_loop_updates.cpp
+++ b/packages/daemon/src/control_loop_updates.cpp
@@ -333,6 +333,7 @@
         return;
     }
     this->next_status_at = now + status_interval;
+    this->state.pool.close_expired(now);
     const protocol::control_transport_counters& traffic = this->transport->counters();
     const auto seconds = [](core::duration age) { return std::chrono::duration<double>(age).count(); };
     nlohmann::json members_json = nlohmann::json::array();
--- a/packages/daemon/src/zone_keeper.cpp
+++ b/packages/daemon/src/zone_keeper.cpp
@@ -330,10 +330,14 @@
     const std::optional<platform::zone_record>& record = this->lease.record();
     const bool other_holds = record && record->holder != process_name(this->options.self);
     const bool holding = this->promise.current_role() == quota::successor_promise::role::holding;
-    if (!other_holds || !holding || this->inherited || !this->writes.empty() || !this->authority)
+    // After a handover the record names the daemon that handed over, until the first own write.
+    const bool names_predecessor =
+        this->inherited && record && record->holder == process_name(*this->predecessor);
+    if (!other_holds || !holding || names_predecessor || !this->authority)
     {
         return;
     }
+    this->inherited = false;
     this->authority->lost();
     this->authority.reset();
     this->lender.reset();
@@ -431,6 +435,7 @@
         settings.start_after = now;
         this->inherited = true;
         this->accepted_epoch = message.epoch;
+        this->predecessor = message.from;
         this->start_lender(now, settings, &message);
     }
     if (this->accepted_epoch == message.epoch)
