Choose among all zones when all instances queue; let the limiter settle

Cause: while all instances of a service queued, calls stayed in their zone, so queues of 100 and of 20 calls stood side by side. The limiter judged a reduction by a window of calls that had started before it. Change: saturated instances of all zones are compared with each other, and the limiter skips the window after a reduction.

--- a/packages/overload/include/laburnumreach/overload/concurrency_limiter.hpp
+++ b/packages/overload/include/laburnumreach/overload/concurrency_limiter.hpp
@@ -96,6 +96,8 @@
     core::duration low_water{0};
     observation_window window;
     bool slow_start = true;
+    /// Set after a reduction: the next window holds calls that started before it.
+    bool settling = false;
 
     /// Start of a series of reductions: used to find out whether latency depends on concurrency at all.
     double reference_latency = 0.0;
--- a/packages/overload/include/laburnumreach/overload/instance_selector.hpp
+++ b/packages/overload/include/laburnumreach/overload/instance_selector.hpp
@@ -123,7 +123,7 @@
         core::time_point queue_end{};
     };
 
-    /// Restrictions that pick lifts one after another.
+    /// Which instances pick considers; it lifts the restrictions one after another.
     struct collect_step
     {
         bool same_zone;
--- a/packages/overload/src/concurrency_limiter.cpp
+++ b/packages/overload/src/concurrency_limiter.cpp
@@ -161,6 +161,11 @@
     {
         return;
     }
+    if (this->settling)
+    {
+        this->settling = false;
+        return;
+    }
     const double latency = closed.latency_sum / closed.successes;
     const double working = closed.working_sum / closed.successes;
     const auto mean = core::duration{static_cast<core::duration::rep>(latency)};
@@ -206,6 +211,7 @@
         this->reference_working = working;
         this->reference_limit = this->computed_limit;
     }
+    this->settling = true;
     const double gradient = this->options.tolerance * static_cast<double>(this->low_water.count()) / latency;
     this->computed_limit =
         std::max<double>(this->computed_limit * std::max(gradient, max_reduction), this->options.min_limit);
--- a/packages/overload/src/instance_selector.cpp
+++ b/packages/overload/src/instance_selector.cpp
@@ -113,8 +113,9 @@
         const instance& candidate = this->instances[i];
         const bool level_allows = step.over_level || request.position.admitted_by(candidate.level.value(now));
         const bool failed_before = request.failed_instance == candidate.info.id;
-        if (candidate.info.same_zone == step.same_zone && level_allows && (step.failed || !failed_before) &&
-            (step.saturated || !this->saturated(now, candidate)) && this->usable(now, candidate))
+        if ((candidate.info.same_zone || !step.same_zone) && level_allows &&
+            (step.failed || !failed_before) && (step.saturated || !this->saturated(now, candidate)) &&
+            this->usable(now, candidate))
         {
             this->candidates.push_back(i);
         }
@@ -133,7 +134,7 @@
         if (!over_level || request.over_level)
         {
             this->collect(now, request,
-                          {.same_zone = (step & 1U) == 0,
+                          {.same_zone = (step & 3U) == 0,
                            .saturated = (step & 2U) != 0,
                            .over_level = over_level,
                            .failed = (step & 8U) != 0});
