--- a/packages/overload/include/laburnumreach/overload/concurrency_limiter.hpp
+++ b/packages/overload/include/laburnumreach/overload/concurrency_limiter.hpp
@@ -12,7 +12,7 @@
 struct limiter_options
 {
     std::uint32_t min_limit = 2;
-    std::uint32_t initial_limit = 8;
+    std::uint32_t initial_limit = 4;
     /// Own latency above tolerance x low-water mark counts as congestion. Below 2, the limit would settle
     /// near the point where an instance becomes idle between calls.
     double tolerance = 2.0;
--- a/packages/overload/src/concurrency_limiter.cpp
+++ b/packages/overload/src/concurrency_limiter.cpp
@@ -16,12 +16,20 @@
 constexpr double max_reduction = 0.75;
 /// Growth of the limit in one window after slow start, in addition to one call.
 constexpr double growth = 1.1;
+/// Growth in one window before the first congestion. It waits for the end of the window, so that the first
+/// low-water mark comes from the initial limit.
+constexpr double slow_start_growth = 2.0;
 /// The low-water mark is tested once concurrency fell to this share of the reference.
 constexpr double test_share = 0.8;
 /// Latency that fell by less than this share of the fall in concurrency does not depend on concurrency.
 constexpr double dependence = 0.5;
 /// Share of failures in a window that lowers the limit like congestion.
 constexpr double failure_share = 0.1;
+/// Fall of the latency that shows a faster instance, for example the end of a cold phase. The mark of that
+/// window holds the queueing of the limit that fitted the slow instance, so the limit starts again lower.
+constexpr double faster_ratio = 0.7;
+/// Lowest factor on the limit in that case.
+constexpr double max_restart = 0.5;
 /// Weight of a window in which the low-water mark moves up while the instance is nearly idle.
 constexpr double idle_drift = 0.1;
 
@@ -130,10 +138,6 @@
         ++this->window.successes;
         this->window.latency_sum += static_cast<double>(own_latency.count());
         this->window.working_sum += working_before;
-        if (this->slow_start && this->window.reached_limit)
-        {
-            this->computed_limit = std::min<double>(this->computed_limit + 1.0, this->announced_slots);
-        }
     }
     const core::duration age = now - this->window.begin;
     const bool enough = this->window.successes + this->window.failures >= this->options.window_calls;
@@ -170,10 +174,23 @@
     const double working = closed.working_sum / closed.successes;
     const auto mean = core::duration{static_cast<core::duration::rep>(latency)};
     const bool idle = closed.peak_working * 2 <= this->limit();
-    if (this->low_water == core::duration::zero() || mean < this->low_water)
+    if (this->low_water == core::duration::zero())
     {
         this->low_water = mean;
     }
+    else if (mean < this->low_water)
+    {
+        const double ratio = latency / static_cast<double>(this->low_water.count());
+        this->low_water = mean;
+        if (ratio < faster_ratio)
+        {
+            this->computed_limit = std::max<double>(this->computed_limit * std::max(ratio, max_restart),
+                                                    this->options.min_limit);
+            this->slow_start = true;
+            this->settling = true;
+            return;
+        }
+    }
     else if (idle)
     {
         // Without concurrency, latency has no queueing part, so the instance itself became slower.
@@ -189,9 +206,11 @@
         return;
     }
     this->reference_latency = 0.0;
-    if (closed.reached_limit && !this->slow_start)
+    if (closed.reached_limit)
     {
-        this->computed_limit = std::min<double>(this->computed_limit * growth + 1.0, this->announced_slots);
+        const double grown =
+            this->slow_start ? this->computed_limit * slow_start_growth : this->computed_limit * growth + 1.0;
+        this->computed_limit = std::min<double>(grown, this->announced_slots);
     }
 }
 
--- /dev/null
+++ b/packages/overload/tests/retry_test.cpp
@@ -0,0 +1,169 @@
+#include "laburnumreach/overload/retry_policy.hpp"
+
+#include "test_time.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace laburnumreach::overload
+{
+
+using core::outcome;
+using core::reason;
+
+class retry_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(retry_test);
+    CPPUNIT_TEST(decisions);
+    CPPUNIT_TEST(chain_never_exceeds_the_bound);
+    CPPUNIT_TEST(budget_bounds_the_share);
+    CPPUNIT_TEST(advice_rises_and_spreads);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a repeated run, retries of several hops for one failure, and retries that add load
+    /// only.
+    void decisions()
+    {
+        struct table_case
+        {
+            std::string name;
+            failed_attempt failed;
+            std::uint32_t attempts_left;
+            bool retry;
+            reason why_not;
+        };
+        const auto failed = [](outcome result, reason why, bool idempotent, bool seen_here = true)
+        {
+            return failed_attempt{.result = {result, why},
+                                  .seen_here = seen_here,
+                                  .idempotent = idempotent,
+                                  .remaining = std::chrono::seconds{1}};
+        };
+        failed_attempt late = failed(outcome::not_run, reason::connect_failed, false);
+        late.remaining = milliseconds{1};
+        const std::vector<table_case> cases{
+            {"not run", failed(outcome::not_run, reason::connect_failed, false), 2, true, reason::none},
+            {"full queue", failed(outcome::not_run, reason::queue_full, false), 2, true, reason::none},
+            {"may have run", failed(outcome::may_have_run, reason::connection_lost, false), 2, false,
+             reason::none},
+            {"idempotent", failed(outcome::may_have_run, reason::connection_lost, true), 2, true,
+             reason::none},
+            {"seen by another hop", failed(outcome::not_run, reason::connect_failed, true, false), 2, false,
+             reason::none},
+            {"overload", failed(outcome::not_run, reason::overloaded, true), 2, false, reason::none},
+            {"overload further down", failed(outcome::not_run, reason::downstream_overloaded, true), 2, false,
+             reason::none},
+            {"no attempts left", failed(outcome::not_run, reason::connect_failed, true), 0, false,
+             reason::attempts_exhausted},
+            {"no time left", late, 2, false, reason::none},
+        };
+        for (const table_case& tried : cases)
+        {
+            attempt_counter attempts{tried.attempts_left};
+            retry_budget budget;
+            core::random_source random{1};
+            const retry_decision decision =
+                retry_policy{}.decide(at(0), tried.failed, attempts, budget, random);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(tried.name, tried.retry, decision.retry);
+            CPPUNIT_ASSERT_MESSAGE(tried.name, decision.why_not == tried.why_not);
+            CPPUNIT_ASSERT_EQUAL(tried.attempts_left - (tried.retry ? 1 : 0), attempts.remaining());
+            CPPUNIT_ASSERT(decision.backoff < tried.failed.remaining);
+        }
+    }
+
+    /// Guards against a number of attempts that grows with the depth of the chain, also with parallel calls.
+    void chain_never_exceeds_the_bound()
+    {
+        for (std::uint64_t seed = 1; seed <= 500; ++seed)
+        {
+            core::random_source random{seed};
+            const auto retries = static_cast<std::uint32_t>(random.below(5));
+            attempt_counter entry{retries};
+            std::uint32_t used = 0;
+            call_and_retry(entry, 0, random, used);
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), used + entry.remaining() <= retries);
+        }
+    }
+
+    /// Guards against a retry storm, and against a destination with little traffic that gets no retry at all.
+    void budget_bounds_the_share()
+    {
+        retry_budget budget;
+        std::uint32_t taken = 0;
+        for (std::int64_t ms = 0; ms < 10000; ++ms)
+        {
+            budget.record_success();
+            taken += budget.try_take(at(ms)) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(taken >= 1000);
+        CPPUNIT_ASSERT(taken <= 1000 + 11);
+
+        retry_budget quiet;
+        taken = 0;
+        for (std::int64_t ms = 0; ms < 10000; ++ms)
+        {
+            taken += quiet.try_take(at(ms)) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(taken >= 9 && taken <= 11);
+    }
+
+    /// Guards against refused callers that return together or too early.
+    void advice_rises_and_spreads()
+    {
+        core::random_source random{1};
+        double previous = 0.0;
+        for (const admission_level level : {0, 128, 256, 512})
+        {
+            double sum = 0.0;
+            auto least = std::chrono::milliseconds::max();
+            auto most = std::chrono::milliseconds::min();
+            for (int i = 0; i < 1000; ++i)
+            {
+                const auto advised = retry_policy{}.advice(level, random);
+                sum += static_cast<double>(advised.count());
+                least = std::min(least, advised);
+                most = std::max(most, advised);
+            }
+            CPPUNIT_ASSERT(sum > previous);
+            CPPUNIT_ASSERT(most > 2 * least);
+            previous = sum;
+        }
+    }
+
+private:
+    /// One hop calls the next, at random in parallel or with lost answers, and retries while it may.
+    static void call_and_retry(attempt_counter& held, std::uint32_t depth, core::random_source& random,
+                               std::uint32_t& used)
+    {
+        for (int parallel = random.chance(0.3) ? 2 : 1; parallel > 0; --parallel)
+        {
+            while (true)
+            {
+                attempt_counter lent{held.lend(depth < 4, depth)};
+                if (depth < 4)
+                {
+                    call_and_retry(lent, depth + 1, random, used);
+                }
+                if (!random.chance(0.2))
+                {
+                    held.give_back(lent.remaining());
+                }
+                if (held.remaining() == 0 || random.chance(0.3))
+                {
+                    break;
+                }
+                held.use();
+                ++used;
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(retry_test);
+
+} // namespace laburnumreach::overload
