--- a/packages/overload/include/laburnumreach/overload/concurrency_limiter.hpp
+++ b/packages/overload/include/laburnumreach/overload/concurrency_limiter.hpp
@@ -12,7 +12,7 @@
 struct limiter_options
 {
     std::uint32_t min_limit = 2;
-    std::uint32_t initial_limit = 8;
+    std::uint32_t initial_limit = 4;
     /// Own latency above tolerance x low-water mark counts as congestion. Below 2, the limit would settle
     /// near the point where an instance becomes idle between calls.
     double tolerance = 2.0;
@@ -96,6 +96,8 @@
     core::duration low_water{0};
     observation_window window;
     bool slow_start = true;
+    /// Set after a reduction: the next window holds calls that started before it.
+    bool settling = false;
 
     /// Start of a series of reductions: used to find out whether latency depends on concurrency at all.
     double reference_latency = 0.0;
