--- a/packages/quota/include/laburnumreach/quota/allocation.hpp
+++ b/packages/quota/include/laburnumreach/quota/allocation.hpp
@@ -8,6 +8,14 @@
 namespace laburnumreach::quota
 {
 
+/// How a zone takes part in the pooling of a small tenant; see quota_revision::pooling_zone.
+enum class pooling : std::uint8_t
+{
+    none,
+    home,   ///< Borrows all parts and lends single tokens.
+    member, ///< Lends its part to the home zone and borrows single tokens.
+};
+
 /// What the distribution of one tenant's quota to one borrower rests on.
 struct allocation_input
 {
@@ -21,6 +29,7 @@
     std::int64_t demand = 0;        ///< Demand of this borrower.
     std::int64_t held_tokens = 0;   ///< Tokens of this borrower as it reported.
     std::int64_t wanted = 0;        ///< Tokens that this borrower waits for.
+    pooling pooled = pooling::none;
 };
 
 /// A grant before it gets loan id, sequence number and term.
--- a/packages/quota/include/laburnumreach/quota/base_parts.hpp
+++ b/packages/quota/include/laburnumreach/quota/base_parts.hpp
@@ -37,7 +37,12 @@
 
     /// Adds a revision that an earlier lender of the zone used and of which only the zones are known. To be
     /// called before the first adopt(), in ascending order.
-    void adopt_unknown(std::uint64_t revision, std::vector<std::string> zones);
+    ///
+    /// A lender that has created the record of its zone reads the newest revision after that. If it is not
+    /// the first one ever, the zone may be new while others still use its part, or use parts of revisions
+    /// that it never saw: it calls this with revision zero and all zones that have a record, as listed after
+    /// its own was written.
+    void adopt_unknown(revision_zones revision);
 
     /// Records that the zone record lists the revisions in use up to this one. Only these are announced, so
     /// that a new lender of this zone knows what other zones rely on.
@@ -50,7 +55,7 @@
     std::vector<std::uint64_t> announced() const;
 
     /// Returns the revisions that the zone record must list.
-    std::vector<std::uint64_t> in_use() const;
+    std::vector<revision_zones> in_use() const;
 
     /// Records what another zone announced.
     /// @returns whether the parts may have changed
--- a/packages/quota/include/laburnumreach/quota/borrower.hpp
+++ b/packages/quota/include/laburnumreach/quota/borrower.hpp
@@ -26,9 +26,11 @@
 public:
     using account = tenant_account<Mutex>;
 
-    /// @param self the daemon with its incarnation
-    /// @param zone the daemon's zone, whose lender it borrows from
-    borrower(daemon_ref self, std::string zone) : self(std::move(self)), zone(std::move(zone)) {}
+    /// @param own_ref the daemon with its incarnation
+    /// @param own_zone the daemon's zone, whose lender it borrows from
+    borrower(daemon_ref own_ref, std::string own_zone) : self(std::move(own_ref)), zone(std::move(own_zone))
+    {
+    }
 
     /// Returns the account of a tenant and creates it if needed.
     std::shared_ptr<account> attach(const std::string& tenant)
@@ -85,7 +87,10 @@
     template <typename Report>
     std::optional<loan_request> collect(core::time_point now, Report report)
     {
-        loan_request request{.lender_zone = this->zone, .sender_zone = this->zone, .sender = this->self};
+        loan_request request;
+        request.lender_zone = this->zone;
+        request.sender_zone = this->zone;
+        request.sender = this->self;
         for (auto& [tenant, entry] : this->accounts)
         {
             if (auto item = entry->with(report))
--- a/packages/quota/include/laburnumreach/quota/daemon_ref.hpp
+++ b/packages/quota/include/laburnumreach/quota/daemon_ref.hpp
@@ -14,6 +14,7 @@
     std::string id;
     std::uint64_t incarnation = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false report for a defaulted comparison
     friend auto operator<=>(const daemon_ref&, const daemon_ref&) = default;
 };
 
--- a/packages/quota/include/laburnumreach/quota/handover.hpp
+++ b/packages/quota/include/laburnumreach/quota/handover.hpp
@@ -5,6 +5,7 @@
 #include "laburnumreach/quota/daemon_ref.hpp"
 #include "laburnumreach/quota/lender_epoch.hpp"
 #include "laburnumreach/quota/part.hpp"
+#include "laburnumreach/quota/quota_revision.hpp"
 
 #include <cstdint>
 #include <map>
@@ -17,6 +18,7 @@
 /// Totals of one tenant at a lender that hands over.
 struct handover_tenant
 {
+    part base;   ///< The zone's own share; lent may exceed it by what the sender borrowed from other zones.
     part unlent; ///< Left at the lender, with its tokens.
     part lent;   ///< Held by borrowers; returns without tokens when their loans lapse.
 
@@ -35,8 +37,8 @@
     /// How long no other daemon may take over, from when that answer arrived; duration::max() without a
     /// limit.
     core::duration authority_lasts = core::duration::max();
-    core::duration loans_lapse_after{0}; ///< On the sender's clock, from when it stopped.
-    std::vector<std::uint64_t> revisions;
+    core::duration loans_lapse_after{0};   ///< On the sender's clock, from when it stopped.
+    std::vector<revision_zones> revisions; ///< In use at the sender.
     std::map<std::string, handover_tenant, std::less<>> tenants;
 
     friend bool operator==(const handover&, const handover&) = default;
--- a/packages/quota/include/laburnumreach/quota/lender.hpp
+++ b/packages/quota/include/laburnumreach/quota/lender.hpp
@@ -66,16 +66,13 @@
 
     /// Adds a revision that the zone record lists and whose quotas are not known; see
     /// base_parts::adopt_unknown.
-    void adopt_unknown(std::uint64_t revision, std::vector<std::string> zones)
-    {
-        this->parts.adopt_unknown(revision, std::move(zones));
-    }
+    void adopt_unknown(revision_zones revision) { this->parts.adopt_unknown(std::move(revision)); }
 
     /// Records that the zone record lists the revisions in use up to this one.
     void recorded(std::uint64_t revision) { this->parts.recorded(revision); }
 
     /// Returns the revisions that the zone record must list.
-    std::vector<std::uint64_t> revisions_in_use() const { return this->parts.in_use(); }
+    std::vector<revision_zones> revisions_in_use() const { return this->parts.in_use(); }
 
     /// Answers a request of a daemon or of another zone's lender.
     output receive(const loan_request& request, core::time_point now);
@@ -96,7 +93,8 @@
 
 private:
     void update_bases(core::time_point now);
-    void collect(output& out, core::time_point now);
+    void serve_waiting(const std::string& tenant, tenant_pool& pool, output& out, core::time_point now);
+    void ask_zones(const std::vector<std::string>& tenants, bool announce, output& out, core::time_point now);
     loan_grant make_grant(const borrower_key& receiver, std::uint64_t number) const;
 
     lender_options options;
--- a/packages/quota/include/laburnumreach/quota/lender_authority.hpp
+++ b/packages/quota/include/laburnumreach/quota/lender_authority.hpp
@@ -63,6 +63,9 @@
     /// Takes a promise.
     void receive(const promise_answer& answer, core::time_point now);
 
+    /// Returns until when a daemon promised; time_point::min() without a promise.
+    core::time_point promised_until(const daemon_ref& daemon) const;
+
     /// Returns the end of the authority; time_point::min() without any.
     core::time_point valid_until() const;
 
--- a/packages/quota/include/laburnumreach/quota/lending_terms.hpp
+++ b/packages/quota/include/laburnumreach/quota/lending_terms.hpp
@@ -14,8 +14,16 @@
     /// Term of a daemon's loan while the lender itself borrows from another zone. It must lapse well before
     /// the loan between the zones does, so that the zone can give that back in time.
     core::duration sub_loan_term = std::chrono::milliseconds{1200};
+    /// Term of a loan made of a part that is itself borrowed for sub_loan_term.
+    core::duration short_loan_term = std::chrono::milliseconds{400};
     /// Added by the side that waits for a lapse, on top of 2% for clocks that run within 1% of real time.
     core::duration grace = std::chrono::milliseconds{250};
+
+    /// Returns the term of loans made of a part that is borrowed for the given term.
+    core::duration term_below(core::duration borrowed_for) const
+    {
+        return borrowed_for >= this->loan_term ? this->sub_loan_term : this->short_loan_term;
+    }
 };
 
 /// Returns how long the giver of a term waits on its own clock until the term has lapsed on the taker's.
--- a/packages/quota/include/laburnumreach/quota/lent_loan.hpp
+++ b/packages/quota/include/laburnumreach/quota/lent_loan.hpp
@@ -44,6 +44,9 @@
     /// tokens are zero. The latest grant always counts.
     part outstanding_after(core::time_point time) const;
 
+    /// Returns the tokens of grants that are not acknowledged yet.
+    std::int64_t tokens_in_transit() const;
+
     /// Returns rate and capacity of the latest grant.
     part latest() const;
 
--- a/packages/quota/include/laburnumreach/quota/naive_counter.hpp
+++ b/packages/quota/include/laburnumreach/quota/naive_counter.hpp
@@ -18,6 +18,17 @@
     {
     }
 
+    /// Changes the quota. Tokens that no longer fit are dropped; more room starts filled.
+    void change(const tenant_quota& quota, core::time_point now)
+    {
+        const std::int64_t grown = quota.burst - this->bucket.contents().capacity;
+        this->bucket.resize(quota.rate, quota.burst, now);
+        if (grown > 0)
+        {
+            this->bucket.add_tokens(grown);
+        }
+    }
+
     /// Admits a request if the fleet's bucket has a token.
     bool try_spend(core::time_point now) { return this->bucket.try_spend(now); }
 
--- a/packages/quota/include/laburnumreach/quota/quota_revision.hpp
+++ b/packages/quota/include/laburnumreach/quota/quota_revision.hpp
@@ -21,6 +21,15 @@
     friend bool operator==(const tenant_quota&, const tenant_quota&) = default;
 };
 
+/// The zones of one revision of the configuration.
+struct revision_zones
+{
+    std::uint64_t revision = 0;
+    std::vector<std::string> zones;
+
+    friend bool operator==(const revision_zones&, const revision_zones&) = default;
+};
+
 /// The quotas of one revision of the configuration.
 struct quota_revision
 {
@@ -35,6 +44,11 @@
     /// of zones, the part of each zone never falls when rate or burst grows.
     /// @param rate_margin_ppm taken off the rate, for clocks that run fast
     part base_part(std::string_view tenant, std::string_view zone, std::int64_t rate_margin_ppm) const;
+
+    /// Returns the zone that borrows all parts of a tenant whose burst is too small to serve from several
+    /// zones; empty for other tenants. Only a matter of distribution: the zones may disagree on it without
+    /// harm.
+    std::string_view pooling_zone(std::string_view tenant) const;
 };
 
 } // namespace laburnumreach::quota
--- a/packages/quota/include/laburnumreach/quota/tenant_account.hpp
+++ b/packages/quota/include/laburnumreach/quota/tenant_account.hpp
@@ -25,21 +25,21 @@
     template <core::clock_source Clock>
     spend_decision try_spend(const Clock& clock)
     {
-        return this->with([&clock](tenant_bucket& bucket) { return bucket.try_spend(clock.now()); });
+        return this->with([&clock](tenant_bucket& tenant) { return tenant.try_spend(clock.now()); });
     }
 
     /// Tries again after a wait; see tenant_bucket::retry_spend.
     template <core::clock_source Clock>
     spend_decision retry_spend(const Clock& clock)
     {
-        return this->with([&clock](tenant_bucket& bucket) { return bucket.retry_spend(clock.now()); });
+        return this->with([&clock](tenant_bucket& tenant) { return tenant.retry_spend(clock.now()); });
     }
 
     /// Ends a wait; see tenant_bucket::give_up.
     template <core::clock_source Clock>
     spend_decision give_up(const Clock& clock)
     {
-        return this->with([&clock](tenant_bucket& bucket) { return bucket.give_up(clock.now()); });
+        return this->with([&clock](tenant_bucket& tenant) { return tenant.give_up(clock.now()); });
     }
 
     /// Calls a function with the bucket under the lock.
--- a/packages/quota/include/laburnumreach/quota/tenant_pool.hpp
+++ b/packages/quota/include/laburnumreach/quota/tenant_pool.hpp
@@ -26,6 +26,7 @@
     daemon_ref daemon;
     lender_epoch epoch; ///< Zero for a daemon.
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false report for a defaulted comparison
     friend auto operator<=>(const borrower_key&, const borrower_key&) = default;
 };
 
@@ -36,7 +37,8 @@
     tenant_pool(const lending_terms& settings, core::time_point now);
 
     /// Sets the other zones that may be asked.
-    void set_other_zones(const std::vector<std::string>& zones);
+    /// @param home the zone that pools the tenant's parts, if it is one of the others
+    void set_other_zones(const std::vector<std::string>& zones, pooling role, std::string_view home);
 
     /// Changes the zone's own share. Lowering it takes effect on what is left at once and on loans when they
     /// are renewed or lapse.
@@ -66,7 +68,8 @@
     /// Serves the borrowers that still wait, as far as possible.
     std::vector<late_answer> serve_waiting(core::time_point now);
 
-    /// Returns what to ask of another zone's lender, if anything.
+    /// Returns what to ask of another zone's lender, if anything. To be called after serve_waiting() at the
+    /// same time.
     std::optional<loan_request_item> ask_zone(const std::string& zone, core::time_point now);
 
     /// Applies an answer of another zone's lender.
@@ -105,7 +108,13 @@
 
     void refresh(core::time_point now);
     void resize_at(core::time_point time);
-    core::duration sub_loan_lapse() const;
+    core::time_point cut_time(const zone_loan& from) const;
+    core::duration term_for(const borrower_key& borrower) const;
+    core::duration denial(core::time_point now) const;
+    std::int64_t needed_rate(core::time_point now) const;
+    std::int64_t rate_gap(std::int64_t need) const;
+    std::int64_t demand_on_zone(const zone_loan& from, std::int64_t need, std::int64_t gap) const;
+    bool pool_active(core::time_point now) const;
     part total() const;
     part excess(core::time_point now) const;
     bool may_be_lent_more(core::time_point now) const;
@@ -115,9 +124,13 @@
     std::int64_t unmet_tokens(core::time_point now) const;
 
     lending_terms terms;
+    pooling pooled = pooling::none;
+    std::string home_zone;
     part own_share;
-    part outstanding;    // sum over debtors and inherited loans
-    token_bucket bucket; // what is left
+    part outstanding;            // sum over debtors and inherited loans
+    token_bucket bucket;         // what is left
+    std::int64_t demand_now = 0; // of the daemons, at the last serve_waiting()
+    std::int64_t unmet_now = 0;  // tokens that daemons wait for, at the last serve_waiting()
     part inherited;
     core::time_point inherited_until{};
     std::map<borrower_key, debtor> debtors;
--- a/packages/quota/include/laburnumreach/quota/token_bucket.hpp
+++ b/packages/quota/include/laburnumreach/quota/token_bucket.hpp
@@ -53,6 +53,8 @@
     core::duration time_until(std::int64_t tokens) const;
 
 private:
+    void add_accrued(std::int64_t whole, std::int64_t fraction, std::int64_t room);
+
     part state;
     std::int64_t remainder = 0; // in 1e-9 micro-tokens
     core::time_point updated{};
--- a/packages/quota/src/allocation.cpp
+++ b/packages/quota/src/allocation.cpp
@@ -12,8 +12,9 @@
 constexpr double rate_reserve = 0.05;
 /// Part of the capacity that is lent by demand. The rest serves daemons that fall short.
 constexpr double capacity_lent = 0.6;
-/// A daemon gets at most this multiple of its demand, so that the rest stays where a token can go anywhere.
-constexpr double rate_headroom = 1.5;
+/// A daemon gets this part of its demand as a rate and the rest as tokens at each renewal, so that what it
+/// does not use stays where a token can go anywhere. At 1.5 its bucket overflows while others are short.
+constexpr double rate_headroom = 0.8;
 /// A daemon gets capacity for at most this many seconds of its demand.
 constexpr double capacity_seconds = 1.0;
 /// A zone keeps this multiple of its daemons' demand.
@@ -83,7 +84,8 @@
         std::max(2 * micro_tokens_per_token, scaled(input.demand, capacity_seconds) + micro_tokens_per_token);
     granted.capacity = whole_tokens(std::min(scaled(input.total.capacity, capacity_lent * share), useful));
     granted.capacity = damp(granted.capacity, input.latest.capacity);
-    if (granted.capacity < micro_tokens_per_token)
+    granted.rate = damp(granted.rate, input.latest.rate);
+    if (granted.capacity < micro_tokens_per_token || input.pooled != pooling::none)
     {
         granted.capacity = 0;
         granted.rate = 0;
@@ -91,7 +93,10 @@
     }
     if (input.wanted > 0)
     {
-        const std::int64_t needed = whole_tokens(input.held_tokens) + input.wanted;
+        // A part more than wanted, since more requests may follow the first.
+        const std::int64_t spare = whole_tokens(input.unlent.tokens / 4);
+        const std::int64_t needed =
+            whole_tokens(input.held_tokens) + input.wanted + (result.one_shot ? 0 : spare);
         granted.capacity = std::max({granted.capacity, needed, result.one_shot ? 0 : input.latest.capacity});
         if (result.one_shot)
         {
@@ -107,26 +112,41 @@
 {
     allocation result;
     part& granted = result.granted;
-    // A zone without a whole token cannot spend its rate itself.
-    const bool can_spend = input.base.capacity >= micro_tokens_per_token;
-    const std::int64_t keep_rate = can_spend ? std::max(scaled(input.daemon_demand, zone_headroom),
-                                                        scaled(input.base.rate, zone_reserve))
-                                             : 0;
-    const std::int64_t spare_rate =
-        std::max<std::int64_t>(0, input.base.rate - keep_rate - input.lent_to_zones.rate);
-    granted.rate = std::min(input.demand, spare_rate);
-    const double lent_share = ratio(granted.rate, input.base.rate);
     const std::int64_t most_capacity =
         std::max<std::int64_t>(0, input.base.capacity - input.lent_to_zones.capacity);
-    granted.capacity = whole_tokens(std::min(scaled(input.base.capacity, lent_share), most_capacity));
-    granted.capacity = damp(granted.capacity, std::min(input.latest.capacity, most_capacity));
-    if (input.wanted > 0)
+    if (input.pooled == pooling::member)
+    {
+        granted.rate = std::max<std::int64_t>(0, input.base.rate - input.lent_to_zones.rate);
+        granted.capacity = most_capacity;
+    }
+    else if (input.pooled == pooling::home)
     {
-        // Half of what is left, or all of it where nobody else asks for it.
-        const std::int64_t left = whole_tokens(input.unlent.tokens);
-        const std::int64_t possible = input.daemon_demand == 0 ? left : whole_tokens(left / 2);
-        const std::int64_t extra = std::min(input.wanted, possible);
-        granted.capacity = std::min(std::max(granted.capacity, input.latest.capacity) + extra, most_capacity);
+        const std::int64_t given = std::min(input.wanted, whole_tokens(input.unlent.tokens));
+        granted.capacity = input.wanted > 0 ? input.latest.capacity + given : 0;
+    }
+    else
+    {
+        // A zone without a whole token cannot spend its rate itself.
+        const bool can_spend = input.base.capacity >= micro_tokens_per_token;
+        const std::int64_t keep_rate = can_spend ? std::max(scaled(input.daemon_demand, zone_headroom),
+                                                            scaled(input.base.rate, zone_reserve))
+                                                 : 0;
+        const std::int64_t spare_rate =
+            std::max<std::int64_t>(0, input.base.rate - keep_rate - input.lent_to_zones.rate);
+        granted.rate = std::min(input.demand, spare_rate);
+        const double lent_share = ratio(granted.rate, input.base.rate);
+        granted.capacity = whole_tokens(std::min(scaled(input.base.capacity, lent_share), most_capacity));
+        granted.capacity = damp(granted.capacity, std::min(input.latest.capacity, most_capacity));
+        if (input.wanted > 0)
+        {
+            // Half of what is left, or all of it where nobody else asks for it.
+            const std::int64_t left = whole_tokens(input.unlent.tokens);
+            const std::int64_t possible = input.daemon_demand == 0 ? left : whole_tokens(left / 2);
+            // More than wanted, since more requests will follow those that moved to the other zone.
+            const std::int64_t extra = std::min(std::max(input.wanted, whole_tokens(possible / 4)), possible);
+            granted.capacity =
+                std::min(std::max(granted.capacity, input.latest.capacity) + extra, most_capacity);
+        }
     }
     result.one_shot = granted.rate == 0 && granted.capacity > 0;
     allocation_input lendable = input;
--- a/packages/quota/src/base_parts.cpp
+++ b/packages/quota/src/base_parts.cpp
@@ -31,10 +31,12 @@
     return true;
 }
 
-void base_parts::adopt_unknown(std::uint64_t revision, std::vector<std::string> zones)
+void base_parts::adopt_unknown(revision_zones revision)
 {
-    this->entries.push_back({revision, std::make_shared<const quota_revision>(quota_revision{
-                                           .revision = revision, .zones = std::move(zones), .tenants = {}})});
+    this->entries.push_back(
+        {revision.revision,
+         std::make_shared<const quota_revision>(quota_revision{
+             .revision = revision.revision, .zones = std::move(revision.zones), .tenants = {}})});
     this->advance();
 }
 
@@ -60,13 +62,13 @@
     return revisions;
 }
 
-std::vector<std::uint64_t> base_parts::in_use() const
+std::vector<revision_zones> base_parts::in_use() const
 {
-    std::vector<std::uint64_t> revisions;
+    std::vector<revision_zones> revisions;
     revisions.reserve(this->entries.size());
     for (const entry& used : this->entries)
     {
-        revisions.push_back(used.revision);
+        revisions.push_back({used.revision, used.quotas->zones});
     }
     return revisions;
 }
--- a/packages/quota/src/lender.cpp
+++ b/packages/quota/src/lender.cpp
@@ -31,7 +31,7 @@
     {
         tenant_pool& pool = this->pools.try_emplace(tenant, this->options.terms, now).first->second;
         // The share is corrected when the configuration is set; until then it is what the earlier lender had.
-        pool.set_base(totals.unlent + totals.lent, now);
+        pool.set_base(totals.base, now);
         pool.inherit(totals.lent, until, now);
         pool.fill(totals.unlent.tokens);
     }
@@ -71,7 +71,11 @@
     for (auto& [tenant, pool] : this->pools)
     {
         pool.set_base(this->parts.base_part(tenant), now);
-        pool.set_other_zones(others);
+        const std::string_view home = newest->pooling_zone(tenant);
+        const pooling role = home.empty()                 ? pooling::none
+                             : home == this->options.zone ? pooling::home
+                                                          : pooling::member;
+        pool.set_other_zones(others, role, home);
     }
     for (auto entry = this->pools.begin(); entry != this->pools.end();)
     {
@@ -107,6 +111,7 @@
                                 .daemon = request.sender,
                                 .epoch = request.sender_epoch};
     loan_grant grant = this->make_grant(borrower, request.number);
+    std::vector<std::string> touched;
     for (const loan_request_item& item : request.items)
     {
         const auto pool = this->pools.find(item.tenant);
@@ -119,13 +124,18 @@
         {
             answer->tenant = item.tenant;
             grant.items.push_back(std::move(*answer));
+            touched.push_back(item.tenant);
         }
     }
     if (!grant.items.empty())
     {
         out.grants.push_back(std::move(grant));
     }
-    this->collect(out, now);
+    for (const std::string& tenant : touched)
+    {
+        this->serve_waiting(tenant, this->pools.at(tenant), out, now);
+    }
+    this->ask_zones(touched, false, out, now);
     return out;
 }
 
@@ -143,46 +153,36 @@
     {
         return out;
     }
+    std::vector<std::string> touched;
     for (const loan_grant_item& item : grant.items)
     {
         const auto pool = this->pools.find(item.tenant);
         if (pool != this->pools.end())
         {
             pool->second.apply_zone(grant.lender_zone, grant.epoch, item, *requested_at, now);
+            this->serve_waiting(item.tenant, pool->second, out, now);
+            touched.push_back(item.tenant);
         }
     }
-    this->collect(out, now);
+    this->ask_zones(touched, false, out, now);
     return out;
 }
 
 lender::output lender::poll(core::time_point now)
 {
     output out;
-    if (this->has_authority(now))
+    if (!this->has_authority(now) || this->parts.newest() == nullptr)
     {
-        this->collect(out, now);
-    }
-    return out;
-}
-
-void lender::collect(output& out, core::time_point now)
-{
-    const auto newest = this->parts.newest();
-    if (newest == nullptr)
-    {
-        return;
+        return out;
     }
     bool excess = false;
+    std::vector<std::string> tenants;
+    tenants.reserve(this->pools.size());
     for (auto& [tenant, pool] : this->pools)
     {
         excess = excess || pool.in_excess(now);
-        for (tenant_pool::late_answer& late : pool.serve_waiting(now))
-        {
-            loan_grant grant = this->make_grant(late.borrower, late.number);
-            late.grant.tenant = tenant;
-            grant.items.push_back(std::move(late.grant));
-            out.grants.push_back(std::move(grant));
-        }
+        this->serve_waiting(tenant, pool, out, now);
+        tenants.push_back(tenant);
     }
     if (!excess)
     {
@@ -190,6 +190,29 @@
     }
     const bool announce = now >= this->next_announcement;
     this->next_announcement = announce ? now + announcement_interval : this->next_announcement;
+    this->ask_zones(tenants, announce, out, now);
+    return out;
+}
+
+void lender::serve_waiting(const std::string& tenant, tenant_pool& pool, output& out, core::time_point now)
+{
+    for (tenant_pool::late_answer& late : pool.serve_waiting(now))
+    {
+        loan_grant grant = this->make_grant(late.borrower, late.number);
+        late.grant.tenant = tenant;
+        grant.items.push_back(std::move(late.grant));
+        out.grants.push_back(std::move(grant));
+    }
+}
+
+void lender::ask_zones(const std::vector<std::string>& tenants, bool announce, output& out,
+                       core::time_point now)
+{
+    const auto newest = this->parts.newest();
+    if (newest == nullptr)
+    {
+        return;
+    }
     for (const std::string& zone : newest->zones)
     {
         if (zone == this->options.zone)
@@ -204,9 +227,9 @@
                              .number = 0,
                              .revisions = {},
                              .items = {}};
-        for (auto& [tenant, pool] : this->pools)
+        for (const std::string& tenant : tenants)
         {
-            if (auto item = pool.ask_zone(zone, now))
+            if (auto item = this->pools.at(tenant).ask_zone(zone, now))
             {
                 item->tenant = tenant;
                 request.items.push_back(std::move(*item));
@@ -247,7 +270,7 @@
         left = {.rate = std::min(left.rate, own_left.rate),
                 .capacity = std::min(left.capacity, own_left.capacity),
                 .tokens = std::min(left.tokens, own_left.capacity)};
-        out.tenants.emplace(tenant, handover_tenant{.unlent = left, .lent = lent});
+        out.tenants.emplace(tenant, handover_tenant{.base = pool.base(), .unlent = left, .lent = lent});
     }
     out.loans_lapse_after = last - now;
     return out;
--- a/packages/quota/src/lender_authority.cpp
+++ b/packages/quota/src/lender_authority.cpp
@@ -110,6 +110,12 @@
     }
 }
 
+core::time_point lender_authority::promised_until(const daemon_ref& daemon) const
+{
+    const auto promise = this->promises.find(daemon);
+    return promise == this->promises.end() ? core::time_point::min() : promise->second.until;
+}
+
 core::time_point lender_authority::end_of(const possible_record& record) const
 {
     if (record.inherited)
@@ -120,14 +126,9 @@
     {
         return record.sent_at + this->terms.lease_term;
     }
-    const auto promise = this->promises.find(*record.successor);
-    if (promise == this->promises.end())
-    {
-        return core::time_point::min();
-    }
-    return this->terms.orphan_limit
-               ? std::min(promise->second.until, record.sent_at + *this->terms.orphan_limit)
-               : promise->second.until;
+    const core::time_point promised = this->promised_until(*record.successor);
+    return this->terms.orphan_limit ? std::min(promised, record.sent_at + *this->terms.orphan_limit)
+                                    : promised;
 }
 
 core::time_point lender_authority::valid_until() const
--- a/packages/quota/src/lent_loan.cpp
+++ b/packages/quota/src/lent_loan.cpp
@@ -48,10 +48,19 @@
         }
         coming += entry->tokens_in_transit;
     }
-    // The first grant of a loan brings its tokens into a bucket that holds none.
     return most;
 }
 
+std::int64_t lent_loan::tokens_in_transit() const
+{
+    std::int64_t sum = 0;
+    for (const level& entry : this->levels)
+    {
+        sum += entry.tokens_in_transit;
+    }
+    return sum;
+}
+
 part lent_loan::latest() const
 {
     if (this->levels.empty())
--- a/packages/quota/src/quota_revision.cpp
+++ b/packages/quota/src/quota_revision.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::int64_t parts_per_million = 1'000'000;
 
+/// With fewer tokens per zone, a few requests that come together empty one zone while the others have tokens.
+constexpr std::int64_t least_tokens_per_zone = 8;
+
 /// 64-bit FNV-1a. All daemons must rank the zones alike, so the hash must not depend on library or process.
 std::uint64_t rank_hash(std::string_view tenant, std::string_view zone)
 {
@@ -65,4 +68,21 @@
             .tokens = 0};
 }
 
+std::string_view quota_revision::pooling_zone(std::string_view tenant) const
+{
+    const auto quota = this->tenants.find(tenant);
+    const auto zone_count = static_cast<std::int64_t>(this->zones.size());
+    if (quota == this->tenants.end() || zone_count < 2 ||
+        quota->second.burst >= zone_count * least_tokens_per_zone * micro_tokens_per_token)
+    {
+        return {};
+    }
+    return *std::min_element(this->zones.begin(), this->zones.end(),
+                             [tenant](const std::string& left, const std::string& right)
+                             {
+                                 return std::pair{rank_hash(tenant, left), std::string_view{left}} <
+                                        std::pair{rank_hash(tenant, right), std::string_view{right}};
+                             });
+}
+
 } // namespace laburnumreach::quota
--- a/packages/quota/src/tenant_bucket.cpp
+++ b/packages/quota/src/tenant_bucket.cpp
@@ -18,6 +18,9 @@
 constexpr core::duration repeat_ask_after = std::chrono::milliseconds{10};
 /// Below this demand (micro-tokens per second) and without a loan there is nothing to report.
 constexpr double negligible_demand = 10'000.0;
+/// What a shrink frees is reported this soon after the last request. Without a limit, a bucket that accrues
+/// while a grant is on its way overflows and is answered at once, again and again.
+constexpr core::duration settle_interval = std::chrono::milliseconds{50};
 /// An answer this old still tells that the lender is there.
 constexpr core::duration answer_fresh_for = std::chrono::milliseconds{500};
 
@@ -140,11 +143,13 @@
     this->drop_lapsed(now);
     this->bucket.accrue(now);
     const bool holding = this->bucket.contents().capacity > 0;
+    bool settle_now = this->settle && now - this->asked_at >= settle_interval;
     if (this->depleted_one_shot() && holding)
     {
         this->returning += this->bucket.contents().tokens;
         this->bucket = {};
         this->settle = true;
+        settle_now = true;
     }
     const bool shortage = this->short_requests > 0 && now >= this->denied_until &&
                           (!this->ask_sent || now - this->asked_at >= repeat_ask_after);
@@ -152,7 +157,7 @@
     const core::duration term =
         this->loan.term > core::duration::zero() ? this->loan.term : lending_terms{}.loan_term;
     const bool active = holding || this->arrivals > 0 || this->demand_estimate >= negligible_demand;
-    if (!shortage && !this->settle && !(active && since_ask >= term / 3))
+    if (!shortage && !settle_now && !(active && since_ask >= term / 3))
     {
         return std::nullopt;
     }
@@ -192,15 +197,16 @@
         this->bucket = {};
         this->returning = 0;
     }
-    const bool shrunk =
-        grant.capacity < this->bucket.contents().capacity || grant.rate < this->bucket.contents().rate;
+    const bool shrunk = this->bucket.contents().capacity - grant.capacity >= micro_tokens_per_token ||
+                        this->bucket.contents().rate - grant.rate >= micro_tokens_per_token;
     this->returning += this->bucket.resize(grant.rate, grant.capacity, now);
     this->returning += this->bucket.add_tokens(grant.tokens);
     this->loan.record(epoch, grant, requested_at);
     this->one_shot = grant.one_shot;
-    this->settle = this->settle || shrunk || this->returning > 0;
+    this->settle = this->settle || shrunk || this->returning >= micro_tokens_per_token;
     this->answered_at = now;
-    this->ask_sent = false;
+    // An answer without tokens and without a denial means that the lender still asks other zones.
+    this->ask_sent = this->ask_sent && grant.tokens == 0 && grant.denied_for == core::duration::zero();
     this->denied_until = now + grant.denied_for;
     return this->short_requests > 0;
 }
--- a/packages/quota/src/tenant_pool.cpp
+++ b/packages/quota/src/tenant_pool.cpp
@@ -21,10 +21,15 @@
 
 } // namespace
 
-tenant_pool::tenant_pool(const lending_terms& settings, core::time_point now) : terms(settings), bucket({}, now) {}
+tenant_pool::tenant_pool(const lending_terms& settings, core::time_point now)
+    : terms(settings), bucket({}, now)
+{
+}
 
-void tenant_pool::set_other_zones(const std::vector<std::string>& zones)
+void tenant_pool::set_other_zones(const std::vector<std::string>& zones, pooling role, std::string_view home)
 {
+    this->pooled = role;
+    this->home_zone = home;
     for (const std::string& zone : zones)
     {
         this->inbound.try_emplace(zone);
@@ -56,9 +61,26 @@
     this->refresh(now);
 }
 
-core::duration tenant_pool::sub_loan_lapse() const
+core::time_point tenant_pool::cut_time(const zone_loan& from) const
+{
+    return from.loan.valid_until - safe_lapse(this->terms.term_below(from.loan.term), this->terms.grace);
+}
+
+core::duration tenant_pool::term_for(const borrower_key& borrower) const
 {
-    return safe_lapse(this->terms.sub_loan_term, this->terms.grace);
+    core::duration term = this->terms.loan_term;
+    if (borrower.lender && this->pooled != pooling::home)
+    {
+        return term; // made of the own share alone
+    }
+    for (const auto& [zone, from] : this->inbound)
+    {
+        if (from.held != part{})
+        {
+            term = std::min(term, this->terms.term_below(from.loan.term));
+        }
+    }
+    return term;
 }
 
 part tenant_pool::total() const
@@ -88,14 +110,13 @@
 {
     // What was borrowed from another zone is given up while the loans made of it can still lapse in time. A
     // late call accounts for the time up to then with it and for the time after without it.
-    const core::duration lapse = this->sub_loan_lapse();
     for (;;)
     {
         zone_loan* first = nullptr;
         for (auto& [zone, from] : this->inbound)
         {
-            const bool due = from.held != part{} && from.loan.valid_until - lapse <= now;
-            if (due && (first == nullptr || from.loan.valid_until < first->loan.valid_until))
+            const bool due = from.held != part{} && this->cut_time(from) <= now;
+            if (due && (first == nullptr || this->cut_time(from) < this->cut_time(*first)))
             {
                 first = &from;
             }
@@ -106,7 +127,7 @@
         }
         first->held = {};
         first->returning = 0;
-        this->resize_at(first->loan.valid_until - lapse);
+        this->resize_at(this->cut_time(*first));
     }
     if (this->inherited_until <= now)
     {
@@ -123,11 +144,12 @@
 
 part tenant_pool::excess(core::time_point now) const
 {
-    // Loans that lapse before anything borrowed does not need to shrink.
+    // Loans that lapse before anything borrowed need not shrink.
+    const core::time_point horizon = now + safe_lapse(this->terms.short_loan_term, this->terms.grace);
     part committed = this->inherited;
     for (const auto& [borrower, account] : this->debtors)
     {
-        committed += account.loan.outstanding_after(now + this->sub_loan_lapse());
+        committed += account.loan.outstanding_after(horizon);
     }
     committed.tokens = 0;
     return component_max(committed - this->total(), part{});
@@ -138,7 +160,9 @@
     std::int64_t sum = 0;
     for (const auto& [borrower, account] : this->debtors)
     {
-        sum += borrower.lender || now - account.demand_at > demand_valid_for ? 0 : account.demand;
+        // The home zone of a pooled tenant serves the daemons of all zones.
+        const bool counts = !borrower.lender || this->pooled == pooling::home;
+        sum += counts && now - account.demand_at <= demand_valid_for ? account.demand : 0;
     }
     return sum;
 }
@@ -156,7 +180,24 @@
 bool tenant_pool::may_be_lent_more(core::time_point now) const
 {
     return std::any_of(this->inbound.begin(), this->inbound.end(),
-                       [now](const auto& entry) { return entry.second.denied_until <= now; });
+                       [this, now](const auto& entry)
+                       {
+                           return entry.second.denied_until <= now &&
+                                  (this->pooled == pooling::none || entry.first == this->home_zone);
+                       });
+}
+
+core::duration tenant_pool::denial(core::time_point now) const
+{
+    core::duration wait = this->bucket.time_until(micro_tokens_per_token);
+    for (const auto& [zone, from] : this->inbound)
+    {
+        if (from.denied_until > now)
+        {
+            wait = std::min(wait, from.denied_until - now);
+        }
+    }
+    return std::clamp(wait, shortest_denial, longest_denial);
 }
 
 loan_grant_item tenant_pool::grant_to(const borrower_key& borrower, debtor& account, core::time_point now)
@@ -170,12 +211,8 @@
                            .daemon_demand = this->daemon_demand(now),
                            .demand = account.demand,
                            .held_tokens = account.held_tokens,
-                           .wanted = account.wanted};
-    bool borrows = false;
-    for (const auto& [zone, from] : this->inbound)
-    {
-        borrows = borrows || from.held != part{};
-    }
+                           .wanted = account.wanted,
+                           .pooled = this->pooled};
     for (const auto& [other, others_account] : this->debtors)
     {
         if (other.lender && other != borrower)
@@ -190,8 +227,7 @@
         const part most = component_max(input.latest - over, part{});
         chosen.granted = component_min(chosen.granted, {.rate = most.rate, .capacity = most.capacity});
     }
-    const core::duration term =
-        borrows && !borrower.lender ? this->terms.sub_loan_term : this->terms.loan_term;
+    const core::duration term = this->term_for(borrower);
     this->bucket.take_tokens(chosen.granted.tokens);
     const std::uint64_t seq =
         account.loan.grant(chosen.granted.rate, chosen.granted.capacity, chosen.granted.tokens,
@@ -210,8 +246,7 @@
     if (!chosen.satisfied && (borrower.lender || !this->may_be_lent_more(now)))
     {
         account.wanted = 0;
-        grant.denied_for =
-            std::clamp(this->bucket.time_until(micro_tokens_per_token), shortest_denial, longest_denial);
+        grant.denied_for = this->denial(now);
     }
     return grant;
 }
@@ -245,7 +280,8 @@
     account.demand = std::max<std::int64_t>(0, item.demand);
     account.demand_at = now;
     account.held_tokens = std::max<std::int64_t>(0, item.held_tokens);
-    account.wanted = std::max<std::int64_t>(0, item.wanted_tokens);
+    // Tokens on the way were meant for the same requests.
+    account.wanted = std::max<std::int64_t>(0, item.wanted_tokens - account.loan.tokens_in_transit());
     account.wanted_at = now;
     return this->grant_to(borrower, account, now);
 }
@@ -270,6 +306,8 @@
             answers.push_back({borrower, account.last_request, this->grant_to(borrower, account, now)});
         }
     }
+    this->demand_now = this->daemon_demand(now);
+    this->unmet_now = this->unmet_tokens(now);
     return answers;
 }
 
--- a/packages/quota/src/token_bucket.cpp
+++ b/packages/quota/src/token_bucket.cpp
@@ -23,18 +23,27 @@
     {
         return;
     }
-    const wide produced =
-        static_cast<wide>(this->state.rate) * (now - this->updated).count() + this->remainder;
+    const std::int64_t elapsed = (now - this->updated).count();
+    const std::int64_t room = this->state.capacity - this->state.tokens;
     this->updated = now;
-    const wide whole = produced / nanoseconds_per_second;
-    if (whole >= this->state.capacity - this->state.tokens)
+    std::int64_t produced = 0;
+    // 64 bits are enough but after long pauses; 128-bit division is ten times slower.
+    if (!__builtin_mul_overflow(this->state.rate, elapsed, &produced) &&
+        !__builtin_add_overflow(produced, this->remainder, &produced))
     {
-        this->state.tokens = this->state.capacity;
-        this->remainder = 0;
+        this->add_accrued(produced / nanoseconds_per_second, produced % nanoseconds_per_second, room);
         return;
     }
-    this->state.tokens += static_cast<std::int64_t>(whole);
-    this->remainder = static_cast<std::int64_t>(produced % nanoseconds_per_second);
+    const wide total = static_cast<wide>(this->state.rate) * elapsed + this->remainder;
+    const wide whole = std::min<wide>(total / nanoseconds_per_second, room);
+    this->add_accrued(static_cast<std::int64_t>(whole),
+                      static_cast<std::int64_t>(total % nanoseconds_per_second), room);
+}
+
+void token_bucket::add_accrued(std::int64_t whole, std::int64_t fraction, std::int64_t room)
+{
+    this->state.tokens += std::min(whole, room);
+    this->remainder = whole >= room ? 0 : fraction;
 }
 
 bool token_bucket::try_spend(core::time_point now)
