--- a/packages/idempotency/include/laburnumreach/idempotency/claim_slot.hpp
+++ b/packages/idempotency/include/laburnumreach/idempotency/claim_slot.hpp
@@ -75,14 +75,15 @@
 /// (see claim_committer_options). Records change only by conditional updates, so a generation ends once. A
 /// record that was last changed in generation g is dropped by the write that begins generation g + n. Each
 /// generation between them lasted its full length, so the record was held at least (n - 1) x
-/// generation_length, whatever the wall clocks said.
+/// generation_length, whatever the wall clocks said. retention_generations leaves one generation more than
+/// the 10 min need, so that a single forward step of one monotonic clock does not drop records early either.
 class claim_slot
 {
 public:
     /// Records of a slot at most.
     static constexpr std::size_t max_records = 20'000;
-    /// A claimed or finished record is dropped at this age: held at least 10 generations.
-    static constexpr std::uint8_t retention_generations = 11;
+    /// A claimed or finished record is dropped at this age: held for at least 11 generations.
+    static constexpr std::uint8_t retention_generations = 12;
     /// A released record is dropped at this age. Safety does not depend on it.
     static constexpr std::uint8_t released_generations = 2;
     /// Encoded size of a slot at most, in bytes; the platform accepts values up to 1 MB.
--- a/packages/idempotency/include/laburnumreach/idempotency/committer_context.hpp
+++ b/packages/idempotency/include/laburnumreach/idempotency/committer_context.hpp
@@ -5,6 +5,7 @@
 #include "laburnumreach/idempotency/claim_message.hpp"
 #include "laburnumreach/idempotency/claim_slot.hpp"
 #include "laburnumreach/idempotency/claim_store_call.hpp"
+#include "laburnumreach/idempotency/refused_claims.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -39,6 +40,8 @@
     core::duration view_retention = std::chrono::minutes{1};
     /// Messages that wait for one slot at most; further claims are answered with claim_store_unavailable.
     std::size_t max_waiting = 4096;
+    /// Refused or released tokens that are remembered at most.
+    std::size_t max_refused = 8192;
     /// Records of one slot at most.
     std::size_t max_records = claim_slot::max_records;
 };
@@ -75,6 +78,7 @@
     process_id self;
     running_predicate is_running;
     claim_committer_counters counters;
+    refused_claims refused{options.max_refused};
     std::uint64_t next_call = 1;
 };
 
--- a/packages/idempotency/include/laburnumreach/idempotency/slot_committer.hpp
+++ b/packages/idempotency/include/laburnumreach/idempotency/slot_committer.hpp
@@ -119,7 +119,7 @@
     decision decide_claim(const task& asked, const draft& planned) const;
     decision decide_update(const task& asked, const draft& planned) const;
     std::optional<claim_change> held(const claim_key& key, const draft& planned) const;
-    bool has_room(const task& asked, const draft& planned) const;
+    bool has_room(const task& asked, const draft& planned, std::size_t new_records) const;
     void add(draft& planned, const claim_key& key, const claim_change& change) const;
     void answer(const task& answered, const claim_message& message, claim_outbox& out);
     void forget_writes(bool may_take_effect);
--- a/packages/idempotency/src/slot_committer.cpp
+++ b/packages/idempotency/src/slot_committer.cpp
@@ -27,6 +27,16 @@
 void slot_committer::accept(core::time_point now, task added, claim_outbox& out)
 {
     this->last_used_at = now;
+    if (added.kind == task_kind::release)
+    {
+        this->context->refused.add({.token = added.token, .may_be_recorded = false});
+    }
+    else if (const claim_response* refusal = this->context->refused.find(added.token);
+             refusal != nullptr && added.kind == task_kind::claim)
+    {
+        this->answer(added, *refusal, out);
+        return;
+    }
     if (this->waiting_ids.contains({added.token, added.kind}))
     {
         if (added.kind != task_kind::claim)
@@ -168,7 +178,6 @@
                       {
                           return false;
                       }
-                      this->waiting_ids.erase({asked.token, asked.kind});
                       if (is_claim)
                       {
                           const bool in_write = asked.answer_after_write.has_value();
@@ -177,6 +186,10 @@
                                                       .may_be_recorded = asked.may_be_recorded || in_write},
                                        out);
                       }
+                      else
+                      {
+                          this->waiting_ids.erase({asked.token, asked.kind});
+                      }
                       return true;
                   });
 }
@@ -265,7 +278,6 @@
                           {
                               return false;
                           }
-                          this->waiting_ids.erase({asked.token, asked.kind});
                           this->answer(asked, *asked.answer_after_write, out);
                           return true;
                       });
--- a/packages/idempotency/src/slot_decisions.cpp
+++ b/packages/idempotency/src/slot_decisions.cpp
@@ -17,7 +17,12 @@
 {
     const core::time_point recent = asked.arrived_at - this->context->options.view_max_age;
     const auto respond = [&](claim_outcome outcome, const process_id& holder)
-    { return claim_response{.token = asked.token, .outcome = outcome, .holder = holder}; };
+    {
+        return claim_response{.token = asked.token,
+                              .outcome = outcome,
+                              .holder = holder,
+                              .may_be_recorded = outcome == claim_outcome::granted || asked.may_be_recorded};
+    };
     const std::optional<claim_change> record = this->held(asked.key, planned);
     if (record && record->token == asked.token)
     {
@@ -34,7 +39,7 @@
     }
     if (!record || record->state == claim_state::released)
     {
-        if (!this->has_room(asked, planned))
+        if (!this->has_room(asked, planned, record ? 0 : 1))
         {
             return {.answer = respond(claim_outcome::claim_table_full, {}), .valid_from = recent};
         }
@@ -93,11 +98,11 @@
     return claim_change{.token = content.token_of(*record), .state = record->state};
 }
 
-bool slot_committer::has_room(const task& asked, const draft& planned) const
+bool slot_committer::has_room(const task& asked, const draft& planned, std::size_t new_records) const
 {
     const claim_slot& content = this->view->content;
     slot_growth growth = planned.growth;
-    ++growth.records;
+    growth.records += new_records;
     ++growth.processes;
     growth.process_bytes += asked.token.owner.daemon.size();
     return content.has_room(growth, this->context->options.max_records);
@@ -122,6 +127,10 @@
     if (const auto* response = std::get_if<claim_response>(&message))
     {
         claim_committer_counters& counters = this->context->counters;
+        if (response->outcome != claim_outcome::granted)
+        {
+            this->context->refused.add(*response);
+        }
         switch (response->outcome)
         {
         case claim_outcome::granted:
@@ -140,6 +149,7 @@
             break;
         }
     }
+    this->waiting_ids.erase({answered.token, answered.kind});
     out.messages.push_back({.daemon = answered.token.owner.daemon, .message = message});
 }
 
