--- a/packages/idempotency/include/laburnumreach/idempotency/slot_committer.hpp
+++ b/packages/idempotency/include/laburnumreach/idempotency/slot_committer.hpp
@@ -39,9 +39,6 @@
     /// Returns whether a store call is the one in flight.
     bool awaits(std::uint64_t call_id) const noexcept { return this->call && this->call->id == call_id; }
 
-    /// Returns whether nothing is waiting, in flight or remembered.
-    bool idle() const noexcept { return !this->call && this->waiting.empty() && !this->view; }
-
 private:
     enum class task_kind : std::uint8_t
     {
@@ -139,7 +136,7 @@
     core::duration backoff{0};
     core::time_point next_read_at{core::duration::min()};
     core::time_point next_write_at{core::duration::min()};
-    core::time_point last_used_at{core::duration::min()};
+    core::time_point last_used_at{};
 };
 
 } // namespace laburnumreach::idempotency
--- a/packages/idempotency/src/claim_committer.cpp
+++ b/packages/idempotency/src/claim_committer.cpp
@@ -57,8 +57,6 @@
     {
         committer.tick(now, this->routed[slot], out);
     }
-    std::erase_if(this->slots,
-                  [&](const auto& entry) { return !this->routed[entry.first] && entry.second.idle(); });
     return out;
 }
 
--- a/packages/idempotency/tests/claim_fleet.hpp
+++ b/packages/idempotency/tests/claim_fleet.hpp
@@ -157,7 +157,7 @@
     {
         claim_key key;
         bool ended = false; ///< Decided or cancelled: no decision may follow.
-        claim_outcome outcome = claim_outcome::granted;
+        claim_outcome outcome = claim_outcome::claim_store_unavailable;
     };
 
     std::map<std::string, daemon> daemons;
--- a/packages/idempotency/tests/committer_test.cpp
+++ b/packages/idempotency/tests/committer_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
 #include <sstream>
 
 namespace laburnumreach::idempotency
@@ -18,14 +19,15 @@
 /// Steps: "A?" claim request of daemon A, "A!" its completion, "A-" its release; "other:A" a claim of A that
 /// another committer writes; "gone:A" the process of A ends; "ok" answers the pending store call, "all" also
 /// those that follow; "lost" makes the call take effect and loses the answer; "late" loses the answer and
-/// keeps the write back until "land"; "down" has the store refuse the call; "1500ms" passes time. Lower case
-/// letters use a second key of the same slot. An answer is the daemon with its outcome, and "?" after it when
-/// the claim may be recorded in spite of the refusal.
+/// keeps the write back until "land"; "down" has the store refuse the call; "restart" replaces the committer;
+/// "1500ms" passes time. Lower case letters use a second key of the same slot. An answer is the daemon with
+/// its outcome, and "?" after it when the claim may be recorded in spite of the refusal.
 class committer_script
 {
 public:
     std::string run(const std::string& steps)
     {
+        this->start();
         std::istringstream input{steps};
         for (std::string step; input >> step;)
         {
@@ -35,6 +37,13 @@
     }
 
 private:
+    void start()
+    {
+        this->committer.emplace(claim_committer_options{.max_records = 1},
+                                process_id{.incarnation = 1, .daemon = "self"},
+                                [this](const process_id& owner) { return owner.daemon != this->gone; });
+    }
+
     void run_step(const std::string& step)
     {
         const std::string name = step.substr(step.find(':') + 1);
@@ -53,6 +62,10 @@
                 }
             }
         }
+        else if (step == "restart")
+        {
+            this->start();
+        }
         else if (step == "land")
         {
             this->store.apply(this->late_write);
@@ -75,12 +88,12 @@
         }
         else if (step.ends_with("?"))
         {
-            this->collect(this->committer.receive(this->now, this->request(step.substr(0, 1))));
+            this->collect(this->committer->receive(this->now, this->request(step.substr(0, 1))));
         }
         else
         {
             const claim_request asked = this->request(step.substr(0, 1));
-            this->collect(this->committer.receive(
+            this->collect(this->committer->receive(
                 this->now, claim_update{.key = asked.key,
                                         .token = asked.token,
                                         .kind = step.ends_with("!") ? claim_update_kind::finished
@@ -112,7 +125,7 @@
         {
             result.status = store_status::unknown_fate;
         }
-        this->collect(this->committer.complete(this->now, result));
+        this->collect(this->committer->complete(this->now, result));
     }
 
     void pass(core::duration time)
@@ -120,7 +133,7 @@
         for (const core::time_point end = this->now + time; this->now < end;)
         {
             this->now += 50ms;
-            this->collect(this->committer.tick(this->now));
+            this->collect(this->committer->tick(this->now));
         }
     }
 
@@ -148,9 +161,7 @@
 
     fake_store store;
     std::string gone;
-    claim_committer committer{{.max_records = 1},
-                              {.incarnation = 1, .daemon = "self"},
-                              [this](const process_id& owner) { return owner.daemon != this->gone; }};
+    std::optional<claim_committer> committer;
     core::time_point now{1h};
     std::vector<store_call> calls;
     store_call late_write;
@@ -178,6 +189,8 @@
      "A=granted B=duplicate_in_progress"},
     {"a key freed while a late write may yet claim it", "A? ok late 1000ms A- all land B? all",
      "A=claim_store_unavailable? A=done B=granted"},
+    {"a release told before a late write is settled", "A? ok late 50ms ok A- all land C? all",
+     "A=granted A=done C=granted"},
     {"a key left claimed by a refused attempt", "A? ok lost 1000ms A- all B? all",
      "A=claim_store_unavailable? A=done B=granted"},
     {"a free key while its refused attempt may hold it", "A? ok lost 1000ms B? all",
@@ -191,8 +204,12 @@
      "A=granted B=duplicate_in_progress A=done C=granted"},
     {"a released attempt granted again", "A? all A- all A? all",
      "A=granted A=done A=claim_store_unavailable"},
+    {"a released attempt granted by another committer", "A? all A- all restart A? all",
+     "A=granted A=done A=claim_store_unavailable"},
     {"a finished claim freed by a late release", "A? all A! all A- all B? all",
      "A=granted A=done A=done B=duplicate_finished"},
+    {"a run forgotten after a wrong release", "A? all A- all A! all B? all",
+     "A=granted A=done A=done B=duplicate_finished"},
     {"a foreign write overwritten", "C- all other:B A? all", "C=done A=duplicate_in_progress"},
     {"a foreign claim missed by its release", "C- all other:A A- all B? all", "C=done A=done B=granted"},
     {"a foreign claim missed by its completion", "C- all other:A A! all B? all",
