Carry the offered ratio, take revisions over from the handover, advise retries

Cause: a graceful stop after configuration changes left the zone without a lender, because the stopping daemon no longer repeated its handover and the successor waited for a zone record with all revisions. It also refused its own callers, since it returned its loans before the end of the drain. Several 503 answers had no Retry-After. Change: the handover carries the zones of each revision, a leaving daemon borrows and repeats the handover until the end, loans go back with the leave, every 503 has a spread Retry-After. The offered ratio travels with each call. Conclusion: state that the receiver needs must be in the handover itself.

--- a/packages/daemon/include/laburnumreach/daemon/call_context.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/call_context.hpp
@@ -25,6 +25,8 @@
     std::string service;
     std::string route;
     overload::admission_position position;
+    /// Requests of the class that were offered at the entry for each admitted one.
+    double offered_ratio = 1.0;
     std::uint32_t depth = 0;
     core::time_point deadline{};
     /// Key that the caller showed; empty on hops behind the entry.
--- a/packages/daemon/include/laburnumreach/daemon/call_forwarder.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/call_forwarder.hpp
@@ -42,7 +42,7 @@
         instance_target target;
     };
 
-    core::verdict choose(const call_context& call, const forwarded_request& request, called_service& service,
+    core::verdict choose(call_context& call, const forwarded_request& request, called_service& service,
                          const attempt& previous, std::uint32_t tries, attempt& chosen);
     call_outcome send(const std::shared_ptr<call_context>& call, const forwarded_request& request,
                       const attempt& chosen);
--- a/packages/daemon/include/laburnumreach/daemon/control_loop.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/control_loop.hpp
@@ -104,6 +104,7 @@
     std::string document_text;           ///< As stored in the platform, for peers.
     std::map<std::string, std::shared_ptr<tenant_quota>> quotas;
     bool leaving = false;
+    bool left = false;
     std::atomic<bool> released{false};
     std::atomic<bool> stopping{false};
     std::atomic<std::shared_ptr<const std::string>> status_text;
--- a/packages/daemon/include/laburnumreach/daemon/entry_handler.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/entry_handler.hpp
@@ -30,8 +30,7 @@
     core::verdict read_body(http::incoming_request& request, admitted_request& admitted);
     call_outcome run(http::incoming_request& request, admitted_request& admitted);
     void assign_position(admitted_request& admitted);
-    void answer_refusal(const admitted_request& admitted, const core::verdict& verdict,
-                        http::response& answer);
+    void answer_refusal(const admitted_request& admitted, core::verdict verdict, http::response& answer);
 
     daemon_state& state;
     once_runner once;
--- a/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
@@ -10,7 +10,7 @@
 #include "laburnumreach/quota/successor_promise.hpp"
 
 #include <cstdint>
-#include <map>
+
 #include <memory>
 #include <optional>
 #include <string>
@@ -116,7 +116,7 @@
     void name_successor(core::time_point now);
     void receive_promise(core::time_point now, const quota::promise_answer& answer);
     void receive_handover(core::time_point now, const quota::handover& message, outbox& out);
-    bool knows_revisions(const quota::handover& message) const;
+    void configure_lender(core::time_point now);
     void collect(quota::lender::output messages, outbox& out) const;
     outgoing_quota_message handover_message() const;
     std::vector<platform::listed_revision> listed_revisions() const;
@@ -129,7 +129,8 @@
     std::optional<quota::lender_authority> authority;
     std::unique_ptr<quota::lender> lender;
     std::shared_ptr<const quota::quota_revision> revision;
-    std::map<std::uint64_t, std::vector<std::string>> zones_by_revision;
+    /// In use at the lender before, until this daemon's lender is configured.
+    std::vector<quota::revision_zones> inherited_revisions;
     std::vector<quota::daemon_ref> members;
     std::optional<quota::daemon_ref> candidate_successor;
     core::time_point candidate_promised_at{};
--- a/packages/daemon/src/call_forwarder.cpp
+++ b/packages/daemon/src/call_forwarder.cpp
@@ -102,7 +102,7 @@
     }
 }
 
-core::verdict call_forwarder::choose(const call_context& call, const forwarded_request& request,
+core::verdict call_forwarder::choose(call_context& call, const forwarded_request& request,
                                      called_service& service, const attempt& previous, std::uint32_t tries,
                                      attempt& chosen)
 {
@@ -122,6 +122,10 @@
     {
         return {.result = core::outcome::not_run, .why = choice.why};
     }
+    if (call.depth == 0 && tries == 1)
+    {
+        call.offered_ratio = choice.offered_ratio;
+    }
     chosen.id = *choice.instance;
     chosen.target = service.targets.at(*choice.instance);
     return {};
@@ -145,6 +149,7 @@
         exit_call->service = call->service;
         exit_call->route = call->route;
         exit_call->position = call->position;
+        exit_call->offered_ratio = call->offered_ratio;
         exit_call->depth = call->depth;
         exit_call->deadline = call->deadline;
         exit_call->attempts = overload::attempt_counter{lent};
@@ -180,6 +185,7 @@
         .depth = call->depth,
         .priority = static_cast<std::uint32_t>(call->position.cls),
         .bucket = call->position.bucket,
+        .offered_ratio_thousandths = static_cast<std::uint64_t>(call->offered_ratio * 1000.0),
         .idempotent = request.idempotent};
     http::headers headers = *request.headers;
     headers.emplace(envelope_header_name, protocol::to_header_value(envelope, this->authenticator));
--- a/packages/daemon/src/control_loop.cpp
+++ b/packages/daemon/src/control_loop.cpp
@@ -120,18 +120,24 @@
         {
             this->leaving = true;
             this->update_own_record(core::boot_clock::now());
-            if (const auto request = this->borrower.release(core::boot_clock::now()))
-            {
-                this->send_quota(
-                    {{.receiver = {}, .lender_zone = request->lender_zone, .message = *request}});
-            }
             this->send_quota(this->zone.stop(core::boot_clock::now()));
         });
 }
 
 void control_loop::announce_left()
 {
-    this->events.post([this] { this->send_gossip(this->members.leave(core::boot_clock::now())); });
+    this->events.post(
+        [this]
+        {
+            const core::time_point now = core::boot_clock::now();
+            this->left = true;
+            if (const auto request = this->borrower.release(now))
+            {
+                this->send_quota(
+                    {{.receiver = {}, .lender_zone = request->lender_zone, .message = *request}});
+            }
+            this->send_gossip(this->members.leave(now));
+        });
 }
 
 void control_loop::run()
@@ -264,7 +270,10 @@
     {
         for (const std::string& tenant : this->borrower.receive(*grant, now))
         {
-            this->quotas.at(tenant)->wake();
+            if (const auto found = this->quotas.find(tenant); found != this->quotas.end())
+            {
+                found->second->wake();
+            }
         }
         return;
     }
@@ -352,11 +361,9 @@
 
 void control_loop::poll_quota(core::time_point now)
 {
-    if (this->leaving)
-    {
-        return;
-    }
-    if (const auto request = this->borrower.poll(now))
+    // A leaving daemon borrows on, since it serves its callers until the end of the drain.
+    const auto request = this->left ? std::nullopt : this->borrower.poll(now);
+    if (request)
     {
         this->send_quota({{.receiver = {}, .lender_zone = request->lender_zone, .message = *request}});
     }
--- a/packages/daemon/src/entry_handler.cpp
+++ b/packages/daemon/src/entry_handler.cpp
@@ -17,6 +17,15 @@
     return {.result = core::outcome::not_run, .why = why};
 }
 
+/// Returns the wait advised for refusals that say nothing about the load, spread so that callers do not
+/// return together.
+std::chrono::milliseconds spread_advice()
+{
+    constexpr std::uint64_t shortest_ms = 500;
+    constexpr std::uint64_t spread_ms = 1000;
+    return std::chrono::milliseconds{shortest_ms + make_random_number() % spread_ms};
+}
+
 /// Keeps a call in the registry while it runs, so that a withdrawn key cancels it.
 class registered_call
 {
@@ -226,9 +235,13 @@
                                index.tenant(admitted.tenant).weight, service->random);
 }
 
-void entry_handler::answer_refusal(const admitted_request& admitted, const core::verdict& verdict,
+void entry_handler::answer_refusal(const admitted_request& admitted, core::verdict verdict,
                                    http::response& answer)
 {
+    if (verdict.retry_after.count() == 0 && core::http_status(verdict.why) == 503)
+    {
+        verdict.retry_after = spread_advice();
+    }
     this->state.metrics.refusals.increment(verdict.why);
     const call_context& call = *admitted.call;
     this->state.refusals.add({.request_id = call.request_id,
--- a/packages/daemon/src/local_handler.cpp
+++ b/packages/daemon/src/local_handler.cpp
@@ -137,6 +137,7 @@
     call->service = called.service;
     call->route = called.name;
     call->position = parent->position;
+    call->offered_ratio = parent->offered_ratio;
     call->depth = parent->depth + 1;
     call->deadline = std::min(parent->deadline, core::boot_clock::now() + called.timeout);
     const call_cancellation::link link{parent->cancellation, call->cancellation};
--- a/packages/daemon/src/peer_handler.cpp
+++ b/packages/daemon/src/peer_handler.cpp
@@ -24,6 +24,7 @@
     call->route = envelope.route;
     call->position.cls = static_cast<core::priority_class>(envelope.priority % core::priority_class_count);
     call->position.bucket = static_cast<std::uint8_t>(envelope.bucket % overload::bucket_count);
+    call->offered_ratio = static_cast<double>(envelope.offered_ratio_thousandths) / 1000.0;
     call->depth = envelope.depth;
     call->deadline = core::boot_clock::now() + std::chrono::microseconds{envelope.remaining_us};
     call->attempts = overload::attempt_counter{envelope.attempts_left};
--- a/packages/daemon/src/upstream_gateway.cpp
+++ b/packages/daemon/src/upstream_gateway.cpp
@@ -165,6 +165,7 @@
                                        .tenant = request.tenant_number,
                                        .weight = request.tenant_weight,
                                        .position = call.position,
+                                       .offered_ratio = call.offered_ratio,
                                        .depth = call.depth};
     const overload::submit_result submitted = this->control->submit(now, queued, call.deadline);
     if (submitted.evicted)
--- a/packages/daemon/src/zone_keeper.cpp
+++ b/packages/daemon/src/zone_keeper.cpp
@@ -4,6 +4,7 @@
 #include <cassert>
 #include <charconv>
 #include <map>
+#include <utility>
 
 namespace laburnumreach::daemon
 {
@@ -101,11 +102,7 @@
 void zone_keeper::configure(core::time_point now, std::shared_ptr<const quota::quota_revision> quotas)
 {
     this->revision = std::move(quotas);
-    this->zones_by_revision[this->revision->revision] = this->revision->zones;
-    if (this->lender)
-    {
-        this->lender->configure(this->revision, now);
-    }
+    this->configure_lender(now);
 }
 
 zone_keeper::outbox zone_keeper::poll(core::time_point now)
@@ -299,28 +296,52 @@
     settings.terms = this->options.lending;
     this->lender = from == nullptr ? std::make_unique<quota::lender>(settings, now)
                                    : std::make_unique<quota::lender>(settings, *from, now);
-    // The record still lists the revisions of the lender before, since other zones may rely on them.
-    for (const platform::listed_revision& listed : this->lease.record()->revisions)
+    this->inherited_revisions.clear();
+    if (from != nullptr)
     {
-        this->zones_by_revision[listed.revision] = listed.zones;
-        this->lender->adopt_unknown(listed.revision, listed.zones);
+        this->inherited_revisions = from->revisions;
     }
-    if (this->revision)
+    else
     {
-        this->lender->configure(this->revision, now);
+        // The record still lists the revisions of the lender before, since other zones may rely on them.
+        for (const platform::listed_revision& listed : this->lease.record()->revisions)
+        {
+            this->inherited_revisions.push_back({.revision = listed.revision, .zones = listed.zones});
+        }
     }
+    this->configure_lender(now);
     this->lease.set_revisions(this->listed_revisions());
 }
 
+void zone_keeper::configure_lender(core::time_point now)
+{
+    // A new lender must know every revision that the lender before it announced.
+    const bool outdated = !this->inherited_revisions.empty() && this->revision &&
+                          this->inherited_revisions.back().revision > this->revision->revision;
+    if (!this->lender || !this->revision || outdated)
+    {
+        return;
+    }
+    for (const quota::revision_zones& used : std::exchange(this->inherited_revisions, {}))
+    {
+        if (used.revision < this->revision->revision)
+        {
+            this->lender->adopt_unknown(used);
+        }
+    }
+    this->lender->configure(this->revision, now);
+}
+
 std::vector<platform::listed_revision> zone_keeper::listed_revisions() const
 {
     std::vector<platform::listed_revision> listed;
-    for (const std::uint64_t number : this->lender->revisions_in_use())
+    for (const quota::revision_zones& used : this->inherited_revisions)
+    {
+        listed.push_back({.revision = used.revision, .zones = used.zones});
+    }
+    for (const quota::revision_zones& used : this->lender->revisions_in_use())
     {
-        const auto zones = this->zones_by_revision.find(number);
-        listed.push_back(
-            {.revision = number,
-             .zones = zones == this->zones_by_revision.end() ? std::vector<std::string>{} : zones->second});
+        listed.push_back({.revision = used.revision, .zones = used.zones});
     }
     return listed;
 }
@@ -421,11 +442,7 @@
 void zone_keeper::receive_handover(core::time_point now, const quota::handover& message, outbox& out)
 {
     const protocol::handover_receipt receipt{.zone = message.zone, .epoch = message.epoch};
-    if (!this->knows_revisions(message))
-    {
-        // The sender repeats the handover until the zone record has been read here.
-        return;
-    }
+
     if (const auto accepted = this->promise.accept(message))
     {
         this->authority.emplace(quota::lender_authority::from_handover(
@@ -444,23 +461,6 @@
     }
 }
 
-bool zone_keeper::knows_revisions(const quota::handover& message) const
-{
-    const std::optional<platform::zone_record>& record = this->lease.record();
-    if (!record)
-    {
-        return false;
-    }
-    const auto listed = [&](std::uint64_t number)
-    {
-        const auto same = [number](const platform::listed_revision& entry)
-        { return entry.revision == number; };
-        return std::any_of(record->revisions.begin(), record->revisions.end(), same) ||
-               this->zones_by_revision.contains(number);
-    };
-    return std::all_of(message.revisions.begin(), message.revisions.end(), listed);
-}
-
 zone_keeper::outbox zone_keeper::stop(core::time_point now)
 {
     outbox out;
--- a/packages/daemon/tests/zone_keeper_schedule_test.cpp
+++ b/packages/daemon/tests/zone_keeper_schedule_test.cpp
@@ -84,12 +84,18 @@
         one.keeper = std::make_unique<zone_keeper>(zone_keeper_options{.zone = "a", .self = one.self},
                                                    core::random_source{this->random.below(1ULL << 60U)});
         one.keeper->set_candidate(true);
+        this->configure(one);
+        one.stop_at = core::duration{};
+    }
+
+    /// Gives the newest revision to a node; the others may still use older ones.
+    void configure(node& one)
+    {
         auto revision = std::make_shared<quota::quota_revision>();
-        revision->revision = 1;
+        revision->revision = this->newest_revision;
         revision->zones = {"a"};
         revision->tenants["serra"] = {.rate = 1'000'000, .burst = 5'000'000};
         one.keeper->configure(this->local(one), revision);
-        one.stop_at = core::duration{};
     }
 
     void act(std::size_t index)
@@ -229,6 +235,11 @@
             one.stop_at = this->now + seconds{10};
             this->post(one.keeper->stop(this->local(one)));
         }
+        if (this->random.chance(0.01) && this->now >= one.paused_until)
+        {
+            this->newest_revision += this->random.below(2);
+            this->configure(one);
+        }
         if (this->random.chance(0.0005))
         {
             one.cut_off = !one.cut_off;
@@ -270,6 +281,7 @@
     std::multimap<core::duration, std::function<void()>> events;
     core::duration now{};
     std::uint64_t next_incarnation = 1;
+    std::uint64_t newest_revision = 1;
     quota::daemon_ref last_lender;
     std::string fault;
     double loss = 0.0;
--- a/packages/protocol/include/laburnumreach/protocol/call_envelope.hpp
+++ b/packages/protocol/include/laburnumreach/protocol/call_envelope.hpp
@@ -29,6 +29,8 @@
     std::uint32_t depth = 0;
     std::uint32_t priority = 0; ///< core::priority_class.
     std::uint32_t bucket = 0;   ///< Admission bucket of the tenant and request, 0 to 127.
+    /// Requests of the class that were offered at the entry for each admitted one, in thousandths.
+    std::uint64_t offered_ratio_thousandths = 1000;
     bool idempotent = false;
 };
 
@@ -40,7 +42,7 @@
         return std::tie(message.version, message.sender, message.receiver, message.request_id, message.tenant,
                         message.service, message.route, message.instance, message.configuration_revision,
                         message.remaining_us, message.attempts_left, message.depth, message.priority,
-                        message.bucket, message.idempotent);
+                        message.bucket, message.offered_ratio_thousandths, message.idempotent);
     }
 };
 
--- a/packages/protocol/include/laburnumreach/protocol/quota_messages.hpp
+++ b/packages/protocol/include/laburnumreach/protocol/quota_messages.hpp
@@ -103,10 +103,16 @@
     }
 };
 
+template <>
+struct message_layout<quota::revision_zones>
+{
+    static auto fields(auto& message) { return std::tie(message.revision, message.zones); }
+};
+
 template <>
 struct message_layout<quota::handover_tenant>
 {
-    static auto fields(auto& message) { return std::tie(message.unlent, message.lent); }
+    static auto fields(auto& message) { return std::tie(message.base, message.unlent, message.lent); }
 };
 
 template <>
