Accept routes of equal lengths in different services

Cause: the search for repeated routes deduced a tuple of strings and stored views of it. The views dangled, so two routes were taken for the same when the lengths of service, method and path agreed, as in sheets GET /sheets/ and routes GET /checks/. Such a text was refused. Change: the type of the key is named, so that the views refer to the configuration. A test has two such routes.

--- a/packages/config/src/fleet_config_checker.cpp
+++ b/packages/config/src/fleet_config_checker.cpp
@@ -158,7 +158,9 @@
 void fleet_config_checker::check_routes()
 {
     std::set<std::pair<std::string_view, std::string_view>> names;
-    std::map<std::tuple<std::string_view, std::string_view, std::string_view>, std::string_view> rules;
+    // The type of the key is named, because a deduced tuple copies the strings and its views would dangle.
+    using rule_key = std::tuple<std::string_view, std::string_view, std::string_view>;
+    std::map<rule_key, std::string_view> rules;
     for (std::size_t index = 0; index < this->config.routes.size(); ++index)
     {
         const route_config& route = this->config.routes[index];
@@ -169,7 +171,7 @@
                                      " is repeated");
         }
         const auto [rule, added] =
-            rules.emplace(std::tuple{route.service, route.method, route.path}, route.name);
+            rules.emplace(rule_key{route.service, route.method, route.path}, route.name);
         if (!added && !route.path.empty() && !route.method.empty())
         {
             reader.fault("path",
--- a/packages/config/tests/fleet_config_faults_test.cpp
+++ b/packages/config/tests/fleet_config_faults_test.cpp
@@ -98,6 +98,7 @@
     CPPUNIT_TEST(each_fault_is_reported_at_its_line);
     CPPUNIT_TEST(all_faults_are_reported);
     CPPUNIT_TEST(sizes_are_bounded);
+    CPPUNIT_TEST(routes_of_equal_lengths_differ);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -140,6 +141,31 @@
         CPPUNIT_ASSERT(!parse_fleet_config(zones + "]"));
         CPPUNIT_ASSERT(!parse_fleet_config("zones = [\"" + std::string(65, 'a') + "\"]"));
     }
+
+    /// Guards against a comparison of freed strings, which took routes for the same when the lengths of
+    /// service, method and path were equal.
+    void routes_of_equal_lengths_differ()
+    {
+        const auto parsed = parse_fleet_config(R"(zones = ["a"]
+[[service]]
+name = "sheets"
+[[service]]
+name = "routes"
+[[route]]
+service = "sheets"
+name = "read"
+method = "GET"
+path = "/sheets/"
+priority = "normal"
+[[route]]
+service = "routes"
+name = "check"
+method = "GET"
+path = "/checks/"
+priority = "normal"
+)");
+        CPPUNIT_ASSERT_MESSAGE(parsed ? "" : to_string(parsed.error()), parsed.has_value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_config_faults_test);
