--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -5,7 +5,7 @@
   g++ cmake make pkg-config clang-format clang-tidy shellcheck
   libnng-dev libcpp-httplib-dev libtomlplusplus-dev libcli11-dev libeasyloggingpp-dev libexpected-dev
   libcppunit-dev libboost-dev libmsgpack-cxx-dev nlohmann-json3-dev libssl-dev libxxhash-dev prometheus-cpp-dev
-  gnuplot-nox
+  gnuplot-nox curl jq
 )
 missing=()
 for package in "${packages[@]}"; do
