Add the bench once: restarts, kills, an outage and a withdrawn key

Cause: at-most-once runs and true verdicts were not judged with real daemons under faults. Change: scripts/bench.sh once starts 12 daemons in 3 zones and loads them while (a) each daemon is stopped by SIGTERM and started, (b) each is killed and upstream connections fall silent, (c) the platform refuses connections for 15 s, (d) the configuration changes and a key is withdrawn. Parts can be run alone; (a), (b) and (c) each start a new fleet. The output is bench-out/once.json.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Builds and runs a bench; results go to bench-out/ (or the directory in BENCH_OUT).
 # Usage: scripts/bench.sh policy [option of the bench...]
+#        scripts/bench.sh once [a|b|c...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build_dir=${BUILD_DIR:-build}
@@ -13,8 +14,12 @@
   mkdir -p "$out_dir"
   exec "$build_dir/packages/bench/policy/policy_bench" --json "$out_dir/policy.json" "$@"
   ;;
+once)
+  [ "${SKIP_BUILD:-0}" = 1 ] || scripts/build.sh >/dev/null
+  exec scripts/bench/once.sh "$@"
+  ;;
 *)
-  echo "usage: scripts/bench.sh policy [option of the bench...]" >&2
+  echo "usage: scripts/bench.sh policy|once [option of the bench...]" >&2
   exit 2
   ;;
 esac
--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -47,10 +47,8 @@
   done
 }
 
-fleet_end() {
-  local code=$?
-  trap - EXIT
-  trap '' INT TERM
+# Ends all processes that this script started.
+fleet_stop() {
   local name
   for name in "${!fleet_pids[@]}"; do
     kill -TERM "${fleet_pids[$name]}" 2>/dev/null || true
@@ -58,6 +56,13 @@
   for name in "${!fleet_pids[@]}"; do
     process_wait "$name" >/dev/null || true
   done
+}
+
+fleet_end() {
+  local code=$?
+  trap - EXIT
+  trap '' INT TERM
+  fleet_stop
   if [ "${KEEP_RUN_DIR:-0}" = 1 ] || [ "$code" -ne 0 ]; then
     echo "settings and logs of the run: $fleet_dir" >&2
   else
@@ -82,17 +87,20 @@
 
 # process_wait <name>: waits for the end of a process, kills it after the deadline, returns its exit status.
 process_wait() {
-  local name=$1 pid=${fleet_pids[$1]:-} until=$((SECONDS + stop_deadline_s)) status=0
+  local name=$1 pid=${fleet_pids[$1]:-} until=$((SECONDS + stop_deadline_s)) status=0 killed=0
   [ -n "$pid" ] || return 0
-  while kill -0 "$pid" 2>/dev/null; do
-    if [ "$SECONDS" -ge "$until" ]; then
-      echo "$name does not end within $stop_deadline_s s and is killed" >&2
-      kill -KILL "$pid" 2>/dev/null || true
-      break
-    fi
-    sleep 0.05
-  done
-  { wait "$pid"; } 2>/dev/null || status=$?
+  {
+    while kill -0 "$pid"; do
+      if [ "$SECONDS" -ge "$until" ]; then
+        kill -KILL "$pid" || true
+        killed=1
+        break
+      fi
+      sleep 0.05
+    done
+    wait "$pid" || status=$?
+  } 2>/dev/null # The shell reports each process that a signal ended.
+  [ "$killed" -eq 0 ] || echo "$name did not end within $stop_deadline_s s and was killed" >&2
   unset "fleet_pids[$name]"
   return "$status"
 }
@@ -139,6 +147,7 @@
 }
 
 platform_start() {
+  rm -f "$fleet_dir/platform.log"
   process_start platform "$standin_dir/platform_standin" --port "$platform_port" --control-port "$platform_control"
   wait_until 10 "the platform stand-in listens" is_ready platform
 }
