Forget an answered claim or update in the claim committer

Cause: a claim or update that was answered by the known content of its slot, without a write, left its id among the waiting ones. A repetition of the update was then looked up among the waiting updates and read past their end; a repeated claim got no answer. Daemons ended by SIGSEGV in slot_committer::accept after an outage of the platform, when releases are repeated. Change: the id is erased with the answer.

--- a/packages/idempotency/src/slot_committer.cpp
+++ b/packages/idempotency/src/slot_committer.cpp
@@ -143,6 +143,7 @@
     {
         if (decisions[index].valid_from <= this->view->current_at)
         {
+            this->waiting_ids.erase({this->waiting[index].token, this->waiting[index].kind});
             this->answer(this->waiting[index], decisions[index].answer, out);
         }
         else
