--- /dev/null
+++ b/packages/bench/capacity/src/child_process.hpp
@@ -0,0 +1,42 @@
+#ifndef LABURNUMREACH_CAPACITY_BENCH_CHILD_PROCESS_HPP
+#define LABURNUMREACH_CAPACITY_BENCH_CHILD_PROCESS_HPP
+
+#include <cstddef>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace laburnumreach::capacity_bench
+{
+
+/// What a process has used so far.
+struct process_usage
+{
+    double control_seconds = 0.0; ///< Processor time of the thread named "control".
+    double total_seconds = 0.0;   ///< Processor time of all threads that still run.
+    double resident_mb = 0.0;
+    std::size_t threads = 0;
+};
+
+/// A started program. The destructor ends it with SIGKILL and waits for it.
+class child_process
+{
+public:
+    /// @param log_path receives the standard output and error
+    child_process(const std::vector<std::string>& command, const std::string& log_path);
+    child_process(child_process&& other) noexcept;
+    child_process& operator=(child_process&&) = delete;
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+    ~child_process();
+
+    /// Reads processor time, resident memory and thread count from /proc.
+    process_usage usage() const;
+
+private:
+    pid_t pid = -1;
+};
+
+} // namespace laburnumreach::capacity_bench
+
+#endif
