Count control and tick time apart in the capacity bench

The control thread's cost does not follow the number of calls, and timers dominate gossip at 700 members, so both are shown apart.

--- a/packages/bench/capacity/src/closed_loop.cpp
+++ b/packages/bench/capacity/src/closed_loop.cpp
@@ -30,7 +30,7 @@
     const core::time_point begin = core::boot_clock::now();
     const core::time_point end = begin + options.time;
     std::vector<std::vector<double>> latencies(options.callers);
-    std::vector<std::size_t> failures(options.callers);
+    std::vector<std::map<std::string, std::size_t>> failures(options.callers);
     {
         std::vector<std::jthread> callers;
         for (std::size_t index = 0; index < options.callers; ++index)
@@ -55,7 +55,11 @@
                         const core::duration took = core::boot_clock::now() - sent;
                         if (!result.complete() || result.answer.status != 200)
                         {
-                            ++failures[index];
+                            const std::string_view reason =
+                                http::find_header(result.answer.headers, "Laburnum-Reason");
+                            ++failures[index][reason.empty()
+                                                  ? "status " + std::to_string(result.answer.status)
+                                                  : std::string{reason}];
                         }
                         else if (!std::exchange(first, false))
                         {
@@ -73,7 +77,11 @@
     for (std::size_t index = 0; index < options.callers; ++index)
     {
         all.insert(all.end(), latencies[index].begin(), latencies[index].end());
-        result.failed += failures[index];
+        for (const auto& [reason, count] : failures[index])
+        {
+            result.failed += count;
+            result.reasons[reason] += count;
+        }
     }
     std::sort(all.begin(), all.end());
     result.completed = all.size();
--- a/packages/bench/capacity/src/closed_loop.hpp
+++ b/packages/bench/capacity/src/closed_loop.hpp
@@ -5,6 +5,7 @@
 #include "laburnumreach/http/endpoint.hpp"
 
 #include <cstddef>
+#include <map>
 #include <string>
 
 namespace laburnumreach::capacity_bench
@@ -25,6 +26,7 @@
 {
     std::size_t completed = 0;
     std::size_t failed = 0;
+    std::map<std::string, std::size_t> reasons; ///< Failures by Laburnum-Reason, or by status without one.
     double seconds = 0.0;
     double p50_ms = 0.0;
     double p99_ms = 0.0;
--- a/packages/bench/capacity/src/daemon_fleet.hpp
+++ b/packages/bench/capacity/src/daemon_fleet.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace laburnumreach::capacity_bench
@@ -46,6 +47,12 @@
     /// Returns the size of the operators' text in bytes.
     std::size_t text_bytes() const { return this->text().size(); }
 
+    /// Returns the path of the one upstream's route as the upstream sees it.
+    static std::string upstream_path();
+
+    /// Returns the path of the one upstream's route as a caller writes it.
+    static std::string caller_path();
+
     /// Returns /status of a daemon, or an empty object while it does not answer.
     nlohmann::json status(std::size_t daemon) const;
 
@@ -53,7 +60,8 @@
     nlohmann::json platform_statistics() const;
 
     /// Waits until every daemon knows all others and the last configuration.
-    /// @returns the time it took in seconds, or a negative number when it did not happen in time
+    /// @returns the time it took in seconds
+    /// @throws std::runtime_error when it does not happen in time
     double wait_until_settled(double most_seconds) const;
 
     /// Returns the number of daemons that have the last configuration in force, as /status shows it.
--- a/packages/bench/capacity/src/gossip_fleet.cpp
+++ b/packages/bench/capacity/src/gossip_fleet.cpp
@@ -89,7 +89,11 @@
         {
             if (this->members[index].engine)
             {
-                this->send(index, this->members[index].engine->tick(this->now));
+                const double tick_begin = processor_seconds();
+                const auto messages = this->members[index].engine->tick(this->now);
+                this->traffic.tick_seconds += processor_seconds() - tick_begin;
+                ++this->traffic.ticks;
+                this->send(index, messages);
             }
         }
         const core::time_point next = this->now + step;
