End the daemons when the capacity bench is cut off

A SIGTERM left the daemons and stand-ins running, because destructors did not run. A handler now ends them by id.

--- a/packages/bench/capacity/src/capacity_bench.cpp
+++ b/packages/bench/capacity/src/capacity_bench.cpp
@@ -1,3 +1,4 @@
+#include "child_process.hpp"
 #include "parts.hpp"
 
 #include <CLI/CLI.hpp>
@@ -5,6 +6,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <thread>
 
 namespace laburnumreach::capacity_bench
@@ -34,6 +36,7 @@
     app.add_option("--members", options.member_counts, "members in virtual time, ascending; repeatable");
     CLI11_PARSE(app, argc, argv);
 
+    child_process::end_all_on_signals();
     using part_function = nlohmann::json (*)(const bench_options&);
     const std::map<std::string, part_function> known{{"gossip", measure_gossip},
                                                      {"quota", measure_quota},
--- a/packages/bench/capacity/src/child_process.cpp
+++ b/packages/bench/capacity/src/child_process.cpp
@@ -1,5 +1,7 @@
 #include "child_process.hpp"
 
+#include <array>
+#include <atomic>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -13,6 +15,44 @@
 namespace laburnumreach::capacity_bench
 {
 
+namespace
+{
+
+constexpr std::size_t most_children = 256;
+std::array<std::atomic<pid_t>, most_children> running{};
+
+extern "C" void end_children(int signal)
+{
+    for (std::atomic<pid_t>& child : running)
+    {
+        if (const pid_t pid = child.load(); pid > 0)
+        {
+            ::kill(pid, SIGKILL);
+        }
+    }
+    ::_exit(128 + signal);
+}
+
+void replace_running(pid_t before, pid_t after)
+{
+    for (std::atomic<pid_t>& child : running)
+    {
+        pid_t expected = before;
+        if (child.compare_exchange_strong(expected, after))
+        {
+            return;
+        }
+    }
+}
+
+} // namespace
+
+void child_process::end_all_on_signals()
+{
+    std::signal(SIGTERM, end_children);
+    std::signal(SIGINT, end_children);
+}
+
 child_process::child_process(const std::vector<std::string>& command, const std::string& log_path)
 {
     std::vector<std::string> words = command;
@@ -34,6 +74,7 @@
     {
         throw std::runtime_error("cannot start " + command.front());
     }
+    replace_running(0, this->pid);
 }
 
 child_process::child_process(child_process&& other) noexcept : pid(std::exchange(other.pid, -1)) {}
@@ -44,6 +85,7 @@
     {
         ::kill(this->pid, SIGKILL);
         ::waitpid(this->pid, nullptr, 0);
+        replace_running(this->pid, 0);
     }
 }
 
--- a/packages/bench/capacity/src/child_process.hpp
+++ b/packages/bench/capacity/src/child_process.hpp
@@ -30,6 +30,9 @@
     child_process& operator=(const child_process&) = delete;
     ~child_process();
 
+    /// Ends all children on SIGTERM and SIGINT, so that a bench that is cut off leaves no daemons behind.
+    static void end_all_on_signals();
+
     /// Reads processor time, resident memory and thread count from /proc.
     process_usage usage() const;
 
