--- a/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
+++ b/packages/daemon/include/laburnumreach/daemon/zone_keeper.hpp
@@ -98,6 +98,9 @@
     core::time_point authority_until() const;
 
 private:
+    /// A handover is repeated at this interval until it is acknowledged.
+    static constexpr core::duration handover_interval = std::chrono::milliseconds{100};
+
     /// A write of the zone record whose effect is not known yet.
     struct sent_write
     {
