Test a daemon with 1,700 open connections

Cause: the keep-alive test covered the server of the http package only. Change: 1,700 open connections to a daemon's caller listener and a new caller. Before and after: not tested on a daemon; the request is answered with 200. Conclusion: idle connections hold no worker.

--- a/packages/integration/tests/fleet_test.cpp
+++ b/packages/integration/tests/fleet_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
+#include <sys/resource.h>
 
 namespace laburnumreach::integration
 {
@@ -53,6 +54,7 @@
     CPPUNIT_TEST_SUITE(fleet_test);
     CPPUNIT_TEST(wrong_requests_are_refused_with_reason_and_counter);
     CPPUNIT_TEST(keys_never_reach_an_upstream);
+    CPPUNIT_TEST(idle_connections_keep_no_caller_out);
     CPPUNIT_TEST(contexts_cannot_be_forged);
     CPPUNIT_TEST(duplicates_run_once_on_any_daemon);
     CPPUNIT_TEST(withdrawn_key_cancels_a_running_request);
@@ -134,6 +136,42 @@
         }
     }
 
+    /// Guards against a server that gives each open connection a thread: a further caller would wait for
+    /// ever.
+    void idle_connections_keep_no_caller_out()
+    {
+        constexpr std::size_t connection_count = 1700;
+        rlimit files{};
+        CPPUNIT_ASSERT(::getrlimit(RLIMIT_NOFILE, &files) == 0);
+        files.rlim_cur = files.rlim_max;
+        CPPUNIT_ASSERT(::setrlimit(RLIMIT_NOFILE, &files) == 0);
+        test_fleet fleet;
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(fleet.settings[0].listen.callers);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        std::vector<int> descriptors;
+        for (std::size_t count = 0; count < connection_count; ++count)
+        {
+            descriptors.push_back(::socket(AF_INET, SOCK_STREAM, 0));
+            CPPUNIT_ASSERT(
+                ::connect(descriptors.back(), reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+        }
+        wait_until("all connections are open",
+                   [&]
+                   {
+                       const std::string metrics = fleet.admin(0, "/metrics");
+                       const std::string name = "laburnumreach_open_connections{listener=\"callers\"} ";
+                       return std::stoul(metrics.substr(metrics.find(name) + name.size())) >=
+                              connection_count;
+                   });
+        CPPUNIT_ASSERT_EQUAL(200, fleet.get(0, "/front/pages/1", serra_key).status);
+        for (const int descriptor : descriptors)
+        {
+            ::close(descriptor);
+        }
+    }
+
     /// Guards against callers and upstreams that invent a call context, and against foreign peers.
     void contexts_cannot_be_forged()
     {
