Use the shared hex conversion in the daemon

Cause: two loops in the daemon wrote again what core::to_hex does. Change: both call it; behaviour stays.

--- a/packages/daemon/src/once_runner.cpp
+++ b/packages/daemon/src/once_runner.cpp
@@ -1,6 +1,7 @@
 #include "laburnumreach/daemon/once_runner.hpp"
 
 #include "laburnumreach/config/endpoint.hpp"
+#include "laburnumreach/core/hex.hpp"
 #include "laburnumreach/daemon/message_headers.hpp"
 #include "laburnumreach/protocol/call_envelope.hpp"
 
@@ -104,14 +105,7 @@
 
 std::string to_hex(const idempotency::claim_key& key)
 {
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    for (const std::uint8_t byte : key.digest)
-    {
-        text += digits[byte >> 4U];
-        text += digits[byte & 0xfU];
-    }
-    return text;
+    return core::to_hex(key.digest);
 }
 
 std::optional<idempotency::claim_key> parse_claim_key(std::string_view hex)
--- a/packages/daemon/src/random_id.cpp
+++ b/packages/daemon/src/random_id.cpp
@@ -1,5 +1,7 @@
 #include "laburnumreach/daemon/random_id.hpp"
 
+#include "laburnumreach/core/hex.hpp"
+
 #include <array>
 #include <cstdlib>
 #include <cstring>
@@ -27,15 +29,7 @@
 
 std::string make_random_id()
 {
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    text.reserve(32);
-    for (const unsigned char byte : random_bytes<16>())
-    {
-        text += digits[byte >> 4U];
-        text += digits[byte & 0xfU];
-    }
-    return text;
+    return core::to_hex(random_bytes<16>());
 }
 
 std::uint64_t make_random_number()
