Shed by the order of customers and routes, return callers within their objective

All customers of the deployment have the same priority, which replaced the routes' priorities, so that every class was shed alike. The rank now compares the customer first and the route second.

--- a/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
@@ -26,6 +26,9 @@
     /// Factor on rate and burst; the operators tolerate a tenth above the limit, and the sum of the shares
     /// can exceed one while demand moves.
     double headroom = 1.05;
+    /// Part of the bucket that is kept for more urgent requests, for the least urgent ones. A customer over
+    /// its limit then has its most urgent requests served.
+    double urgent_reserve = 0.4;
 };
 
 /// Holds each customer to its rate and burst over all daemons. Deterministic.
@@ -58,8 +61,9 @@
     void forget(const std::string& daemon_id) { this->reported.erase(daemon_id); }
 
     /// Charges one request.
+    /// @param leniency 0 for the least urgent requests, 1 for the most urgent ones
     /// @returns false when the customer's share is used up
-    bool try_charge(const std::string& name, core::time_point now);
+    bool try_charge(const std::string& name, double leniency, core::time_point now);
 
     /// Returns the demand at this daemon, measured over the last seconds.
     std::vector<customer_demand> demand(core::time_point now);
--- a/packages/sidecar/include/laburnumreach/sidecar/entry_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/entry_router.hpp
@@ -35,6 +35,8 @@
         std::string service; ///< Service of the upstream on this VM.
         header_names names;
         repeat_budget_options repeats;
+        /// Ratio for routes whose runs make calls: those calls count as repeats at the services further on.
+        double caller_repeat_ratio = 0.03;
         customer_limiter_options quota;
     };
 
@@ -99,6 +101,7 @@
     void refuse(entry_call& call, int status, std::string_view reason, core::duration retry_after = {});
     void refuse_at_once(exchange& request, int status, std::string_view reason,
                         core::duration retry_after = {});
+    core::duration retry_wait(core::duration latency_objective);
     void on_caller_left(std::uint64_t id);
     void withdraw(entry_call& call);
     std::string forwarded_fields(const http::request_head& head, const customer* owner) const;
--- a/packages/sidecar/include/laburnumreach/sidecar/fleet_routes.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/fleet_routes.hpp
@@ -101,6 +101,9 @@
     /// Returns whether requests need a key unless their route is open.
     bool has_customers() const noexcept { return !this->owners.empty(); }
 
+    /// Returns the largest priority number of the routes that need a key.
+    int least_route_priority() const noexcept { return this->largest_priority; }
+
     const std::vector<customer>& customers() const noexcept { return this->owners; }
     std::uint64_t version() const noexcept { return this->number; }
     const caller_limits& limits() const noexcept { return this->bounds; }
@@ -109,6 +112,7 @@
     std::uint64_t number;
     std::unordered_map<std::string, std::vector<route>> by_host; ///< Longest prefix first.
     std::vector<customer> owners;
+    int largest_priority = 0;
     std::unordered_map<std::string, std::size_t> by_key;
     caller_limits bounds;
 };
--- a/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
@@ -4,6 +4,7 @@
 #include "laburnumreach/core/time.hpp"
 #include "laburnumreach/sidecar/fleet_routes.hpp"
 #include "laburnumreach/sidecar/peer_messages.hpp"
+#include "laburnumreach/sidecar/urgency.hpp"
 
 #include <map>
 #include <set>
@@ -58,15 +59,22 @@
     void update(core::time_point now);
 
     /// Decides on a request.
+    /// @param rank urgency of the request
     /// @param draw a number in [0, 1), random for each request
     /// @returns whether the request is turned away
-    bool sheds(const route& requested, int priority, double draw) const;
+    bool sheds(const route& requested, urgency rank, double draw) const;
+
+    /// Returns whether runs of a route are known to make calls of their own.
+    bool makes_calls(const std::string& route_name) const;
+
+    /// Returns the services that shed, with their levels.
+    std::vector<std::pair<std::string, double>> active_levels() const;
 
     /// Returns the shed level of a service; zero when none is shed.
     double level(const std::string& service) const;
 
-    /// Returns the service on the way of a route that sheds most, for the log; empty when none does.
-    std::string binding_service(const route& requested) const;
+    /// Returns the calls that run or wait for each usable slot of a service, as of the last step.
+    double load(const std::string& service) const;
 
 private:
     /// Calls per request, by service.
@@ -76,14 +84,14 @@
     void add_visits(const std::string& route_name, double factor, int depth, visits& total) const;
 
     load_shedder_options options;
-    std::unordered_map<std::string, std::vector<weighted_service>> destinations;     ///< By route name.
-    std::unordered_map<std::string, int> priorities;                                 ///< By route name.
-    std::map<std::string, instance_status> instances;                                ///< By daemon.
+    std::unordered_map<std::string, std::vector<weighted_service>> destinations; ///< By route name.
+    std::unordered_map<std::string, std::set<urgency>> route_ranks; ///< Of callers' requests, by route name.
+    std::map<std::string, instance_status> instances;               ///< By daemon.
     std::unordered_map<std::string, std::unordered_map<std::string, double>> ratios; ///< Parent to child.
     std::unordered_map<std::string, visits> reached;                                 ///< By route name.
-    std::unordered_map<std::string, std::vector<int>>
-        ranks;                                      ///< Priorities by service, least important first.
-    std::unordered_map<std::string, double> levels; ///< By service.
+    std::unordered_map<std::string, std::vector<urgency>> ranks; ///< By service, least urgent first.
+    std::unordered_map<std::string, double> levels;              ///< By service.
+    std::unordered_map<std::string, double> loads;               ///< By service.
     core::time_point stepped{};
 };
 
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -59,6 +59,7 @@
     void wait_for_signal();
     void schedule_tick();
     void tick();
+    void log_shedding();
     void check_connections(core::time_point now);
     void sync_links();
     bool apply_config(const std::string& document);
@@ -93,6 +94,7 @@
     std::unique_ptr<tcp::acceptor> peer_acceptor;
     bool members_listed = false; ///< The number of daemons is known from the store.
     std::optional<core::time_point> stop_requested;
+    bool stop_announced = false;
     core::time_point metered{};
     core::time_point connections_checked{};
     core::time_point status_sent{};
--- a/packages/sidecar/src/customer_limiter.cpp
+++ b/packages/sidecar/src/customer_limiter.cpp
@@ -53,13 +53,14 @@
 void customer_limiter::refill(account& limited, core::time_point now) const
 {
     // At least one request fits, or a small share of a small burst would admit nothing.
-    const double capacity = std::max(limited.burst * limited.share, 1.0);
+    const double reserve = this->options.urgent_reserve * limited.burst * limited.share;
+    const double capacity = std::max(limited.burst * limited.share, 1.0 + reserve);
     limited.tokens += seconds(now - limited.refilled) * limited.rate * limited.share;
     limited.tokens = std::min(limited.tokens, capacity);
     limited.refilled = now;
 }
 
-bool customer_limiter::try_charge(const std::string& name, core::time_point now)
+bool customer_limiter::try_charge(const std::string& name, double leniency, core::time_point now)
 {
     const auto found = this->accounts.find(name);
     if (found == this->accounts.end())
@@ -69,7 +70,8 @@
     account& limited = found->second;
     limited.arrivals += 1;
     this->refill(limited, now);
-    if (limited.tokens < 1)
+    const double kept = (1.0 - leniency) * this->options.urgent_reserve * limited.burst * limited.share;
+    if (limited.tokens < 1 + kept)
     {
         return false;
     }
--- a/packages/sidecar/src/entry_router.cpp
+++ b/packages/sidecar/src/entry_router.cpp
@@ -116,10 +116,12 @@
             this->refuse_at_once(*request, status_unauthorized, "key_unknown");
             return;
         }
-        if (!this->customers.try_charge(owner->name, now))
+        const double lowest = std::max(1, this->config->least_route_priority());
+        const double leniency = 1.0 - std::clamp(matched->priority / lowest, 0.0, 1.0);
+        if (!this->customers.try_charge(owner->name, leniency, now))
         {
-            constexpr core::duration quota_retry = std::chrono::seconds{1};
-            this->refuse_at_once(*request, status_too_many_requests, "rate_exceeded", quota_retry);
+            this->refuse_at_once(*request, status_too_many_requests, "rate_exceeded",
+                                 this->retry_wait(matched->latency_objective));
             return;
         }
     }
@@ -131,13 +133,12 @@
 {
     const header_names& names = this->settings.names;
     const bool nested = owner == nullptr && this->config->has_customers();
-    const int priority = owner != nullptr && owner->priority ? *owner->priority : matched.priority;
-    if (!nested && this->shedding.sheds(matched, priority, this->random.uniform()))
+    const urgency rank = urgency_of(matched, owner);
+    if (!nested && this->shedding.sheds(matched, rank, this->random.uniform()))
     {
-        // Spread, so that those turned away together do not come back together.
-        const core::duration wait = std::chrono::milliseconds{500 + this->random.below(1000)};
         this->counters.count("shed_total", matched.name);
-        this->refuse_at_once(*request, status_unavailable, "overloaded", wait);
+        this->refuse_at_once(*request, status_unavailable, "overloaded",
+                             this->retry_wait(matched.latency_objective));
         return;
     }
     entry_call call;
@@ -162,7 +163,7 @@
     call.message.target = request->head.target;
     call.message.fields = this->forwarded_fields(request->head, owner);
     call.message.body = std::move(request->body);
-    call.message.priority = priority;
+    call.message.priority = rank;
     call.message.idempotent = matched.idempotent;
     call.message.nested = nested;
     if (nested)
@@ -337,7 +338,12 @@
     }
     const bool allowed = (!call.may_have_run || call.message.idempotent) && call.offered > 0 &&
                          call.offered < call.max_instances && now < call.deadline;
-    if (allowed && this->budgets[call.message.service].try_take(this->settings.repeats, now))
+    repeat_budget_options repeats = this->settings.repeats;
+    if (this->shedding.makes_calls(call.message.route))
+    {
+        repeats.ratio = this->settings.caller_repeat_ratio;
+    }
+    if (allowed && this->budgets[call.message.service].try_take(repeats, now))
     {
         call.message.repeat = true;
         this->counters.count("repeats_total", reason);
@@ -351,8 +357,19 @@
         this->refuse(call, now >= call.deadline ? status_gateway_timeout : status_bad_gateway, reason);
         return;
     }
-    constexpr core::duration busy_retry = std::chrono::milliseconds{400};
-    this->refuse(call, status_unavailable, reason, busy_retry);
+    this->refuse(call, status_unavailable, reason, this->retry_wait(call.latency_objective));
+}
+
+/// Returns the advised wait of a caller that was turned away: early enough for an answer within the latency
+/// objective, and spread, so that those turned away together do not come back together.
+core::duration entry_router::retry_wait(core::duration latency_objective)
+{
+    constexpr double earliest = 0.15; // Of the objective.
+    constexpr double spread = 0.3;
+    constexpr core::duration least = std::chrono::milliseconds{20};
+    const double share = earliest + spread * this->random.uniform();
+    const auto wait = std::chrono::duration_cast<core::duration>(latency_objective * share);
+    return std::max(wait, least);
 }
 
 void entry_router::respond(entry_call& call, http_reply reply, std::string_view outcome)
--- a/packages/sidecar/src/fleet_routes.cpp
+++ b/packages/sidecar/src/fleet_routes.cpp
@@ -28,6 +28,11 @@
 {
     for (host_routes& entry : hosts)
     {
+        for (const route& candidate : entry.routes)
+        {
+            this->largest_priority =
+                std::max(this->largest_priority, candidate.open ? 0 : candidate.priority);
+        }
         std::vector<route>& routes = this->by_host[lower_case(entry.host)];
         std::move(entry.routes.begin(), entry.routes.end(), std::back_inserter(routes));
         std::stable_sort(routes.begin(), routes.end(),
--- a/packages/sidecar/src/load_shedder.cpp
+++ b/packages/sidecar/src/load_shedder.cpp
@@ -16,12 +16,23 @@
 void load_shedder::configure(const fleet_routes& routes)
 {
     this->destinations.clear();
-    this->priorities.clear();
+    this->route_ranks.clear();
     routes.for_each_route(
-        [this](const route& entry)
+        [&](const route& entry)
         {
             this->destinations[entry.name] = entry.destinations;
-            this->priorities[entry.name] = entry.priority;
+            std::set<urgency>& known = this->route_ranks[entry.name];
+            if (!routes.has_customers())
+            {
+                known.insert(urgency_of(entry, nullptr));
+            }
+            else if (!entry.open)
+            {
+                for (const customer& owner : routes.customers())
+                {
+                    known.insert(urgency_of(entry, &owner));
+                }
+            }
         });
     this->recompute_visits();
 }
@@ -87,7 +98,7 @@
 void load_shedder::recompute_visits()
 {
     this->reached.clear();
-    std::unordered_map<std::string, std::set<int, std::greater<>>> by_service;
+    std::unordered_map<std::string, std::set<urgency, std::greater<>>> by_service;
     for (const auto& [name, places] : this->destinations)
     {
         visits total;
@@ -96,7 +107,8 @@
         {
             if (calls >= this->options.least_calls)
             {
-                by_service[service].insert(this->priorities.at(name));
+                const std::set<urgency>& own = this->route_ranks.at(name);
+                by_service[service].insert(own.begin(), own.end());
             }
         }
         this->reached.emplace(name, std::move(total));
@@ -129,7 +141,9 @@
     }
     for (const auto& [service, total] : by_service)
     {
-        const double excess = total.load / std::max(total.slots, 1.0) - this->options.target_load;
+        const double load = total.load / std::max(total.slots, 1.0);
+        this->loads[service] = load;
+        const double excess = load - this->options.target_load;
         const double gain = excess > 0 ? this->options.gain_up : this->options.gain_down;
         const double change = std::clamp(gain * excess, -this->options.max_step, this->options.max_step);
         const auto known = this->ranks.find(service);
@@ -139,7 +153,7 @@
     }
 }
 
-bool load_shedder::sheds(const route& requested, int priority, double draw) const
+bool load_shedder::sheds(const route& requested, urgency rank, double draw) const
 {
     const auto services = this->reached.find(requested.name);
     if (services == this->reached.end())
@@ -153,12 +167,12 @@
         {
             continue;
         }
-        const std::vector<int>& order = this->ranks.at(service);
-        // Routes less important than all known ones rank with the least important.
+        const std::vector<urgency>& order = this->ranks.at(service);
+        // Requests less urgent than all known ones rank with the least urgent.
         const auto place =
-            std::find_if(order.begin(), order.end(), [priority](int known) { return known <= priority; });
-        const double rank = static_cast<double>(std::distance(order.begin(), place));
-        if (draw < service_level - rank)
+            std::find_if(order.begin(), order.end(), [rank](urgency known) { return known <= rank; });
+        const double position = static_cast<double>(std::distance(order.begin(), place));
+        if (draw < service_level - position)
         {
             return true;
         }
@@ -166,30 +180,32 @@
     return false;
 }
 
-double load_shedder::level(const std::string& service) const
+bool load_shedder::makes_calls(const std::string& route_name) const
 {
-    const auto known = this->levels.find(service);
-    return known == this->levels.end() ? 0.0 : known->second;
+    const auto children = this->ratios.find(route_name);
+    return children != this->ratios.end() &&
+           std::any_of(children->second.begin(), children->second.end(),
+                       [this](const auto& child) { return child.second >= this->options.least_calls; });
 }
 
-std::string load_shedder::binding_service(const route& requested) const
+std::vector<std::pair<std::string, double>> load_shedder::active_levels() const
 {
-    std::string binding;
-    const auto services = this->reached.find(requested.name);
-    if (services == this->reached.end())
-    {
-        return binding;
-    }
-    double highest = 0;
-    for (const auto& [service, calls] : services->second)
-    {
-        if (calls >= this->options.least_calls && this->level(service) > highest)
-        {
-            highest = this->level(service);
-            binding = service;
-        }
-    }
-    return binding;
+    std::vector<std::pair<std::string, double>> active;
+    std::copy_if(this->levels.begin(), this->levels.end(), std::back_inserter(active),
+                 [](const auto& entry) { return entry.second > 0; });
+    return active;
+}
+
+double load_shedder::load(const std::string& service) const
+{
+    const auto known = this->loads.find(service);
+    return known == this->loads.end() ? 0.0 : known->second;
+}
+
+double load_shedder::level(const std::string& service) const
+{
+    const auto known = this->levels.find(service);
+    return known == this->levels.end() ? 0.0 : known->second;
 }
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -19,6 +19,9 @@
 /// Time after a stop signal in which new requests are served: readiness checks take two seconds to send
 /// callers elsewhere.
 constexpr core::duration serve_after_stop = std::chrono::milliseconds{2500};
+/// Time after a stop signal in which the instance still gets new work; afterwards its runs end while the
+/// callers go elsewhere.
+constexpr core::duration work_after_stop = std::chrono::milliseconds{1500};
 /// Part of the grace time that is kept for closing.
 constexpr core::duration stop_margin = std::chrono::milliseconds{300};
 /// Least time between two reports of the load to other daemons while it is high.
@@ -72,7 +75,7 @@
               .zone = this->settings.zone,
               .service = this->settings.service,
               .names = this->platform.headers,
-              .repeats = {.window = this->settings.retry_window},
+              .repeats = {.slack = 1.5, .window = this->settings.retry_window},
               .quota = {.full_at_start = this->settings.first_start}},
              this->runner, log, this->counters),
       link_hooks(this->make_link_hooks())
@@ -236,6 +239,7 @@
     if (now - this->metered > meter_interval)
     {
         this->metered = now;
+        this->log_shedding();
         this->ratio_meter.add(this->runner.take_run_starts(), this->router.take_nested_calls());
         this->router.shedder().record_ratios(this->ratio_meter.ratios());
     }
@@ -265,6 +269,18 @@
     }
 }
 
+/// Logs the levels at which services shed, while any does.
+void sidecar_daemon::log_shedding()
+{
+    for (const auto& [service, level] : this->router.shedder().active_levels())
+    {
+        const double load = this->router.shedder().load(service);
+        this->events.request_event(
+            "shedding",
+            {{"service", service}, {"level", std::to_string(level)}, {"load", std::to_string(load)}});
+    }
+}
+
 void sidecar_daemon::check_connections(core::time_point now)
 {
     if (now - this->connections_checked < connection_check_interval)
@@ -410,13 +426,17 @@
     this->stop_requested = core::boot_clock::now();
     this->events.state_event("stopping", {{"entry_calls", std::to_string(this->router.open_calls())},
                                           {"exit_calls", std::to_string(this->runner.open_calls())}});
-    this->runner.announce_stop();
-    this->refresh_own_status();
 }
 
 void sidecar_daemon::continue_stop(core::time_point now)
 {
     const core::duration elapsed = now - *this->stop_requested;
+    if (elapsed > work_after_stop && !this->stop_announced)
+    {
+        this->stop_announced = true;
+        this->runner.announce_stop();
+        this->refresh_own_status();
+    }
     if (elapsed > serve_after_stop)
     {
         this->outbound.context->closing = true;
