Shed requests for services without an instance; learn the instance at once after a restart

A service without an instance now sheds all that needs it, a route with several destinations only for the chosen one. A restarted daemon asks its instance by one health check instead of waiting up to a heartbeat.

--- a/packages/sidecar/include/laburnumreach/sidecar/fleet_routes.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/fleet_routes.hpp
@@ -72,8 +72,17 @@
         std::vector<std::string> keys;
     };
 
-    fleet_routes(std::uint64_t version, std::vector<host_routes> hosts, std::vector<customer_keys> customers,
-                 const caller_limits& limits);
+    /// Parts of a configuration.
+    struct contents
+    {
+        std::uint64_t version = 0;
+        std::vector<host_routes> hosts;
+        std::vector<customer_keys> customers;
+        std::unordered_map<std::string, std::string> health_paths; ///< By service.
+        caller_limits limits;
+    };
+
+    explicit fleet_routes(contents parts);
 
     /// Finds the route with the longest prefix of the path.
     /// @param host value of the Host field, with or without a port
@@ -101,6 +110,9 @@
     /// Returns whether requests need a key unless their route is open.
     bool has_customers() const noexcept { return !this->owners.empty(); }
 
+    /// Returns the path of a service's health check; empty when none is known.
+    std::string health_path(const std::string& service) const;
+
     /// Returns the largest priority number of the routes that need a key.
     int least_route_priority() const noexcept { return this->largest_priority; }
 
@@ -114,6 +126,7 @@
     std::vector<customer> owners;
     int largest_priority = 0;
     std::unordered_map<std::string, std::size_t> by_key;
+    std::unordered_map<std::string, std::string> health_paths;
     caller_limits bounds;
 };
 
--- /dev/null
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_probe.hpp
@@ -0,0 +1,52 @@
+#ifndef LABURNUMREACH_SIDECAR_INSTANCE_PROBE_HPP
+#define LABURNUMREACH_SIDECAR_INSTANCE_PROBE_HPP
+
+#include "laburnumreach/sidecar/header_names.hpp"
+#include "laburnumreach/sidecar/instance_connection.hpp"
+#include "laburnumreach/sidecar/instance_state.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace laburnumreach::sidecar
+{
+
+/// Asks the instance beside a restarted daemon who it is, instead of waiting for its next heartbeat.
+class instance_probe
+{
+public:
+    /// Settings of the probe.
+    struct options
+    {
+        tcp::endpoint address;
+        std::string address_text; ///< As the instance announces it.
+        std::string service;      ///< Service of the instance on this VM.
+        header_names names;
+    };
+
+    using found_handler = std::function<void(const instance_heartbeat&)>;
+
+    instance_probe(asio::io_context& context, options chosen, found_handler handler);
+
+    /// Sends a health check when the instance is unknown, a few times at most.
+    /// @param health_path path of the check; empty while unknown
+    void run_if_due(const std::string& health_path, core::time_point now);
+
+private:
+    void on_result(instance_result result);
+
+    /// Checks are paid for, and heartbeats come anyway.
+    static constexpr int max_attempts = 2;
+    static constexpr core::duration retry_interval = std::chrono::milliseconds{700};
+
+    asio::io_context& io;
+    options settings;
+    found_handler found;
+    std::shared_ptr<instance_connection> connection;
+    int attempts = 0;
+    core::time_point last_attempt{};
+};
+
+} // namespace laburnumreach::sidecar
+
+#endif
--- a/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
@@ -19,9 +19,8 @@
 /// Settings of a load_shedder.
 struct load_shedder_options
 {
-    /// Calls that run or wait for each usable slot, above which a service sheds. Below one, since a service
-    /// that is asked through chains answers late to a change at the entry.
-    double target_load = 0.92;
+    /// Calls that run or wait for each usable slot, above which a service sheds.
+    double target_load = 1.0;
     /// Change of the shed level for each step and unit of load above the target.
     double gain_up = 0.25;
     /// The same below the target; lower, so that admission returns without overshoot.
@@ -49,9 +48,12 @@
     /// Applies the routes of a configuration.
     void configure(const fleet_routes& routes);
 
-    /// Records the state of an instance; one without a service is removed.
+    /// Records the state of an instance; one that takes no work is removed.
     void record_status(const std::string& daemon_id, const instance_status& status);
 
+    /// Removes an instance whose daemon left or cannot be reached.
+    void forget(const std::string& daemon_id) { this->instances.erase(daemon_id); }
+
     /// Records observed call ratios.
     void record_ratios(std::span<const call_ratio> ratios);
 
@@ -59,10 +61,11 @@
     void update(core::time_point now);
 
     /// Decides on a request.
+    /// @param service destination chosen for it
     /// @param rank urgency of the request
     /// @param draw a number in [0, 1), random for each request
     /// @returns whether the request is turned away
-    bool sheds(const route& requested, urgency rank, double draw) const;
+    bool sheds(const route& requested, const std::string& service, urgency rank, double draw) const;
 
     /// Returns whether runs of a route are known to make calls of their own.
     bool makes_calls(const std::string& route_name) const;
@@ -80,7 +83,11 @@
     /// Calls per request, by service.
     using visits = std::unordered_map<std::string, double>;
 
+    bool sheds_at(const std::string& service, double calls, urgency rank, double draw) const;
+    double highest_level(const std::string& service) const;
+    double next_level(const std::string& service, double level, double load);
     void recompute_visits();
+    void add_called(const std::string& route_name, double factor, int depth, visits& total) const;
     void add_visits(const std::string& route_name, double factor, int depth, visits& total) const;
 
     load_shedder_options options;
@@ -88,7 +95,8 @@
     std::unordered_map<std::string, std::set<urgency>> route_ranks; ///< Of callers' requests, by route name.
     std::map<std::string, instance_status> instances;               ///< By daemon.
     std::unordered_map<std::string, std::unordered_map<std::string, double>> ratios; ///< Parent to child.
-    std::unordered_map<std::string, visits> reached;                                 ///< By route name.
+    std::unordered_map<std::string, visits> reached; ///< Through calls of its runs, by route name. ///< By
+                                                     ///< route name.
     std::unordered_map<std::string, std::vector<urgency>> ranks; ///< By service, least urgent first.
     std::unordered_map<std::string, double> levels;              ///< By service.
     std::unordered_map<std::string, double> loads;               ///< By service.
--- a/packages/sidecar/include/laburnumreach/sidecar/repeat_budget.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/repeat_budget.hpp
@@ -13,7 +13,7 @@
 struct repeat_budget_options
 {
     /// Repeats allowed for each request within the window.
-    double ratio = 0.1;
+    double ratio = 0.15;
     /// Repeats allowed beside the ratio within the window.
     double slack = 1.0;
     core::duration window = std::chrono::seconds{10};
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -6,6 +6,7 @@
 #include "laburnumreach/sidecar/entry_router.hpp"
 #include "laburnumreach/sidecar/exit_runner.hpp"
 #include "laburnumreach/sidecar/fleet_knowledge.hpp"
+#include "laburnumreach/sidecar/instance_probe.hpp"
 #include "laburnumreach/sidecar/peer_link.hpp"
 #include "laburnumreach/sidecar/peer_server.hpp"
 #include "laburnumreach/sidecar/platform_bindings.hpp"
@@ -66,6 +67,7 @@
     void on_control(const std::shared_ptr<exchange>& request);
     void on_ready(const std::shared_ptr<exchange>& request);
     void on_metrics(const std::shared_ptr<exchange>& request);
+    void on_probed(const instance_heartbeat& found);
     void on_instance_changed();
     void refresh_own_status();
     void begin_stop();
@@ -80,6 +82,7 @@
     asio::steady_timer timer;
     sidecar_metrics counters;
     instance_state instance;
+    instance_probe probe;
     fleet_knowledge knowledge;
     exit_runner runner;
     peer_server peers;
--- a/packages/sidecar/src/entry_router.cpp
+++ b/packages/sidecar/src/entry_router.cpp
@@ -77,13 +77,17 @@
 {
     this->links.erase(daemon_id);
     this->instances.erase(daemon_id);
-    this->shedding.record_status(daemon_id, {});
+    this->shedding.forget(daemon_id);
     this->customers.forget(daemon_id);
 }
 
 void entry_router::set_daemon_count(std::size_t count)
 {
     this->customers.set_daemon_count(count);
+    // A part stays unused for repeats that come of repeats further up the chain.
+    constexpr double used_slack = 0.5;
+    this->settings.repeats.slack =
+        used_slack * this->settings.fleet_repeat_slack / static_cast<double>(count);
 }
 
 void entry_router::handle(const std::shared_ptr<exchange>& request)
@@ -134,7 +138,8 @@
     const header_names& names = this->settings.names;
     const bool nested = owner == nullptr && this->config->has_customers();
     const urgency rank = urgency_of(matched, owner);
-    if (!nested && this->shedding.sheds(matched, rank, this->random.uniform()))
+    const std::string service = this->rotations[matched.name].next(matched.destinations);
+    if (!nested && this->shedding.sheds(matched, service, rank, this->random.uniform()))
     {
         this->counters.count("shed_total", matched.name);
         this->refuse_at_once(*request, status_unavailable, "overloaded",
@@ -156,7 +161,7 @@
         call.deadline = std::min(call.deadline, now + std::chrono::milliseconds{*stated});
     }
     call.message.id = call.id;
-    call.message.service = this->rotations[matched.name].next(matched.destinations);
+    call.message.service = service;
     call.message.route = matched.name;
     call.message.attempt_id = http::find_header(request->head.headers, names.attempt_id);
     call.message.method = request->head.method;
--- a/packages/sidecar/src/fleet_routes.cpp
+++ b/packages/sidecar/src/fleet_routes.cpp
@@ -22,11 +22,10 @@
 
 } // namespace
 
-fleet_routes::fleet_routes(std::uint64_t version, std::vector<host_routes> hosts,
-                           std::vector<customer_keys> customers, const caller_limits& limits)
-    : number(version), bounds(limits)
+fleet_routes::fleet_routes(contents parts)
+    : number(parts.version), health_paths(std::move(parts.health_paths)), bounds(parts.limits)
 {
-    for (host_routes& entry : hosts)
+    for (host_routes& entry : parts.hosts)
     {
         for (const route& candidate : entry.routes)
         {
@@ -39,7 +38,7 @@
                          [](const route& left, const route& right)
                          { return left.path_prefix.size() > right.path_prefix.size(); });
     }
-    for (customer_keys& entry : customers)
+    for (customer_keys& entry : parts.customers)
     {
         for (const std::string& key : entry.keys)
         {
@@ -64,6 +63,12 @@
     return match == found->second.end() ? nullptr : &*match;
 }
 
+std::string fleet_routes::health_path(const std::string& service) const
+{
+    const auto found = this->health_paths.find(service);
+    return found == this->health_paths.end() ? std::string{} : found->second;
+}
+
 const customer* fleet_routes::find_customer(std::string_view key) const
 {
     const auto found = this->by_key.find(std::string{key});
--- /dev/null
+++ b/packages/sidecar/src/instance_probe.cpp
@@ -0,0 +1,67 @@
+#include "laburnumreach/sidecar/instance_probe.hpp"
+
+#include <charconv>
+
+namespace laburnumreach::sidecar
+{
+
+namespace
+{
+
+/// @returns the slots out of "running,waiting,slots"; zero when the text has another form
+std::uint32_t parse_slots(std::string_view load)
+{
+    const std::size_t comma = load.rfind(',');
+    std::uint32_t slots = 0;
+    if (comma != std::string_view::npos)
+    {
+        std::from_chars(load.data() + comma + 1, load.data() + load.size(), slots);
+    }
+    return slots;
+}
+
+} // namespace
+
+instance_probe::instance_probe(asio::io_context& context, options chosen, found_handler handler)
+    : io(context), settings(std::move(chosen)), found(std::move(handler))
+{
+}
+
+void instance_probe::run_if_due(const std::string& health_path, core::time_point now)
+{
+    if (health_path.empty() || this->attempts >= max_attempts || now - this->last_attempt < retry_interval)
+    {
+        return;
+    }
+    ++this->attempts;
+    this->last_attempt = now;
+    if (this->connection != nullptr)
+    {
+        this->connection->close();
+    }
+    this->connection = std::make_shared<instance_connection>(
+        this->io, instance_connection::options{.address = this->settings.address,
+                                               .attempt_id_field = this->settings.names.attempt_id});
+    this->connection->run("GET " + health_path + " HTTP/1.1\r\nHost: " + this->settings.address_text +
+                              "\r\nConnection: close\r\n\r\n",
+                          {}, false, [this](instance_result result) { this->on_result(std::move(result)); });
+}
+
+void instance_probe::on_result(instance_result result)
+{
+    constexpr int status_ok = 200;
+    const http::headers& fields = result.head.headers;
+    const std::string_view id = http::find_header(fields, this->settings.names.instance_id);
+    const std::uint32_t slots = parse_slots(http::find_header(fields, this->settings.names.load));
+    if (result.outcome != instance_outcome::complete || result.head.status != status_ok || id.empty() ||
+        slots == 0)
+    {
+        return; // It is leaving, not there, or does not tell; its heartbeat will say.
+    }
+    this->found({.id = std::string{id},
+                 .address = this->settings.address_text,
+                 .service = this->settings.service,
+                 .slots = slots});
+}
+
+} // namespace laburnumreach::sidecar
--- a/packages/sidecar/src/load_shedder.cpp
+++ b/packages/sidecar/src/load_shedder.cpp
@@ -81,6 +81,11 @@
     {
         total[place.service] += weights > 0 ? factor * place.weight / weights : 0;
     }
+    this->add_called(route_name, factor, depth, total);
+}
+
+void load_shedder::add_called(const std::string& route_name, double factor, int depth, visits& total) const
+{
     const auto children = this->ratios.find(route_name);
     if (children == this->ratios.end())
     {
@@ -101,17 +106,21 @@
     std::unordered_map<std::string, std::set<urgency, std::greater<>>> by_service;
     for (const auto& [name, places] : this->destinations)
     {
-        visits total;
-        this->add_visits(name, 1.0, 0, total);
-        for (const auto& [service, calls] : total)
+        visits called;
+        this->add_called(name, 1.0, 0, called);
+        const std::set<urgency>& own = this->route_ranks.at(name);
+        for (const weighted_service& place : places)
+        {
+            by_service[place.service].insert(own.begin(), own.end());
+        }
+        for (const auto& [service, calls] : called)
         {
             if (calls >= this->options.least_calls)
             {
-                const std::set<urgency>& own = this->route_ranks.at(name);
                 by_service[service].insert(own.begin(), own.end());
             }
         }
-        this->reached.emplace(name, std::move(total));
+        this->reached.emplace(name, std::move(called));
     }
     this->ranks.clear();
     for (const auto& [service, values] : by_service)
@@ -139,45 +148,64 @@
         total.load += status.running + status.queued;
         total.slots += status.slots;
     }
+    for (auto& [service, level] : this->levels)
+    {
+        // Without an instance every request that needs the service would fail after the work above it.
+        const auto total = by_service.find(service);
+        const bool available = total != by_service.end();
+        level = available ? this->next_level(service, level,
+                                             total->second.load / std::max(total->second.slots, 1.0))
+                          : this->highest_level(service);
+        by_service.erase(service);
+    }
     for (const auto& [service, total] : by_service)
     {
-        const double load = total.load / std::max(total.slots, 1.0);
-        this->loads[service] = load;
-        const double excess = load - this->options.target_load;
-        const double gain = excess > 0 ? this->options.gain_up : this->options.gain_down;
-        const double change = std::clamp(gain * excess, -this->options.max_step, this->options.max_step);
-        const auto known = this->ranks.find(service);
-        const double highest = known == this->ranks.end() ? 0.0 : static_cast<double>(known->second.size());
-        double& level = this->levels[service];
-        level = std::clamp(level + change, 0.0, highest);
+        this->levels.emplace(service, 0.0);
     }
 }
 
-bool load_shedder::sheds(const route& requested, urgency rank, double draw) const
+double load_shedder::highest_level(const std::string& service) const
 {
-    const auto services = this->reached.find(requested.name);
-    if (services == this->reached.end())
+    const auto known = this->ranks.find(service);
+    return known == this->ranks.end() ? 0.0 : static_cast<double>(known->second.size());
+}
+
+double load_shedder::next_level(const std::string& service, double level, double load)
+{
+    this->loads[service] = load;
+    const double excess = load - this->options.target_load;
+    const double gain = excess > 0 ? this->options.gain_up : this->options.gain_down;
+    const double change = std::clamp(gain * excess, -this->options.max_step, this->options.max_step);
+    return std::clamp(level + change, 0.0, this->highest_level(service));
+}
+
+bool load_shedder::sheds(const route& requested, const std::string& service, urgency rank, double draw) const
+{
+    if (this->sheds_at(service, 1.0, rank, draw))
     {
-        return false;
+        return true;
     }
-    for (const auto& [service, calls] : services->second)
+    const auto called = this->reached.find(requested.name);
+    return called != this->reached.end() &&
+           std::any_of(called->second.begin(), called->second.end(),
+                       [&](const auto& entry)
+                       { return this->sheds_at(entry.first, entry.second, rank, draw); });
+}
+
+/// @param calls calls per request; requests that seldom reach the service are seldom turned away for it
+bool load_shedder::sheds_at(const std::string& service, double calls, urgency rank, double draw) const
+{
+    const double service_level = this->level(service);
+    const auto known = this->ranks.find(service);
+    if (calls < this->options.least_calls || service_level <= 0 || known == this->ranks.end())
     {
-        const double service_level = this->level(service);
-        if (calls < this->options.least_calls || service_level <= 0)
-        {
-            continue;
-        }
-        const std::vector<urgency>& order = this->ranks.at(service);
-        // Requests less urgent than all known ones rank with the least urgent.
-        const auto place =
-            std::find_if(order.begin(), order.end(), [rank](urgency known) { return known <= rank; });
-        const double position = static_cast<double>(std::distance(order.begin(), place));
-        if (draw < service_level - position)
-        {
-            return true;
-        }
+        return false;
     }
-    return false;
+    // Requests less urgent than all known ones rank with the least urgent.
+    const auto place = std::find_if(known->second.begin(), known->second.end(),
+                                    [rank](urgency other) { return other <= rank; });
+    const double position = static_cast<double>(std::distance(known->second.begin(), place));
+    return draw < (service_level - position) * std::min(calls, 1.0);
 }
 
 bool load_shedder::makes_calls(const std::string& route_name) const
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -60,6 +60,12 @@
       signals(this->io),
       timer(this->io),
       instance(to_string(this->settings.upstream)),
+      probe(this->io,
+            {.address = make_endpoint(this->settings.upstream.address, this->settings.upstream.port),
+             .address_text = to_string(this->settings.upstream),
+             .service = this->settings.service,
+             .names = this->platform.headers},
+            [this](const instance_heartbeat& found) { this->on_probed(found); }),
       knowledge(make_own_record(this->settings)),
       runner(
           this->io,
@@ -75,7 +81,8 @@
               .zone = this->settings.zone,
               .service = this->settings.service,
               .names = this->platform.headers,
-              .repeats = {.slack = 1.5, .window = this->settings.retry_window},
+              .repeats = {.window = this->settings.retry_window},
+              .fleet_repeat_slack = this->settings.retry_slack,
               .quota = {.full_at_start = this->settings.first_start}},
              this->runner, log, this->counters),
       link_hooks(this->make_link_hooks())
@@ -228,6 +235,10 @@
 void sidecar_daemon::tick()
 {
     const core::time_point now = core::boot_clock::now();
+    if (!this->instance.instance() && this->router.routes() != nullptr)
+    {
+        this->probe.run_if_due(this->router.routes()->health_path(this->settings.service), now);
+    }
     this->runner.tick(now);
     this->peers.tick(now);
     for (const auto& [id, link] : this->links)
@@ -390,6 +401,15 @@
                       .body = this->platform.acknowledgement});
 }
 
+/// Takes over what the instance says to a health check, until its heartbeat says more.
+void sidecar_daemon::on_probed(const instance_heartbeat& found)
+{
+    if (!this->instance.instance() && this->instance.apply(found, core::boot_clock::now()))
+    {
+        this->on_instance_changed();
+    }
+}
+
 void sidecar_daemon::on_instance_changed()
 {
     const auto& known = this->instance.instance();
