--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -60,6 +60,7 @@
     void wait_for_signal();
     void schedule_tick();
     void tick();
+    void note_loop_delay(core::time_point now);
     void log_shedding();
     void check_connections(core::time_point now);
     void sync_links();
@@ -98,6 +99,7 @@
     bool members_listed = false; ///< The number of daemons is known from the store.
     std::optional<core::time_point> stop_requested;
     bool stop_announced = false;
+    core::time_point last_tick{};
     core::time_point metered{};
     core::time_point connections_checked{};
     core::time_point status_sent{};
--- a/packages/sidecar/src/server_connection.cpp
+++ b/packages/sidecar/src/server_connection.cpp
@@ -68,7 +68,12 @@
     {
         return;
     }
-    const receive_result result = this->received.receive(this->socket);
+    receive_result result = this->received.receive(this->socket);
+    if (result == receive_result::open && !this->lingering)
+    {
+        // Shows a caller that left while its request waited to be read, before the request is acted on.
+        result = this->received.receive(this->socket);
+    }
     if (this->lingering)
     {
         this->received.consume(this->received.view().size());
@@ -86,12 +91,12 @@
         this->close();
         return;
     }
-    this->parse();
     if (result == receive_result::closed)
     {
         this->close();
         return;
     }
+    this->parse();
     // Reading goes on while requests are open, since only a read shows that the caller left.
     constexpr std::size_t max_unread_bytes = 1024 * 1024;
     if (this->received.view().size() < max_unread_bytes || this->incoming != nullptr)
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -235,6 +235,7 @@
 void sidecar_daemon::tick()
 {
     const core::time_point now = core::boot_clock::now();
+    this->note_loop_delay(now);
     if (!this->instance.instance() && this->router.routes() != nullptr)
     {
         this->probe.run_if_due(this->router.routes()->health_path(this->settings.service), now);
@@ -280,6 +281,19 @@
     }
 }
 
+/// Logs when the event loop was busy or the process suspended for longer than a tick by far.
+void sidecar_daemon::note_loop_delay(core::time_point now)
+{
+    constexpr core::duration worth_noting = std::chrono::milliseconds{100};
+    const core::duration delay = now - this->last_tick;
+    if (this->last_tick != core::time_point{} && delay > worth_noting)
+    {
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(delay).count();
+        this->events.request_event("loop_delayed", {{"ms", std::to_string(ms)}});
+    }
+    this->last_tick = now;
+}
+
 /// Logs the levels at which services shed, while any does.
 void sidecar_daemon::log_shedding()
 {
--- /dev/null
+++ b/packages/sidecar/tests/peer_server_test.cpp
@@ -0,0 +1,310 @@
+#include "laburnumreach/sidecar/peer_server.hpp"
+
+#include "laburnumreach/sidecar/call_reasons.hpp"
+#include "laburnumreach/sidecar/server_connection.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace laburnumreach::sidecar
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint64_t sender_start = 7;
+constexpr std::uint64_t receiver_start = 9;
+
+header_names test_names()
+{
+    return {.attempt_id = "X-Attempt",
+            .deadline_ms = "X-Deadline",
+            .credential = "X-Key",
+            .customer = "X-Customer",
+            .caller_service = "X-Caller",
+            .expected_instance = "X-Expected",
+            .instance_id = "X-Instance",
+            .load = "X-Load",
+            .not_executed = "X-Not-Executed",
+            .signature = "X-Signature"};
+}
+
+/// An instance on the loopback address that answers when the test says so.
+class fake_instance
+{
+public:
+    explicit fake_instance(asio::io_context& io)
+        : acceptor(io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}),
+          context(std::make_shared<server_context>())
+    {
+        this->context->limits = [] { return caller_limits{}; };
+        this->context->handle = [this](const std::shared_ptr<exchange>& request)
+        { this->requests.push_back(request); };
+        this->accept();
+    }
+
+    void answer(std::size_t index)
+    {
+        const std::string id{http::find_header(this->requests.at(index)->head.headers, "X-Attempt")};
+        this->requests.at(index)->respond(
+            {.status = 200, .fields = "X-Attempt: " + id + "\r\nX-Signature: s\r\n", .body = "whole"});
+    }
+
+    tcp::acceptor acceptor;
+    std::vector<std::shared_ptr<exchange>> requests;
+
+private:
+    void accept()
+    {
+        this->acceptor.async_accept(
+            [this](const error_code& fault, tcp::socket socket)
+            {
+                if (!fault)
+                {
+                    std::make_shared<server_connection>(std::move(socket), this->context)->start();
+                    this->accept();
+                }
+            });
+    }
+
+    std::shared_ptr<server_context> context;
+};
+
+/// Another daemon, reduced to its frames.
+class fake_peer
+{
+public:
+    fake_peer(asio::io_context& io, const tcp::endpoint& address)
+    {
+        tcp::socket socket{io};
+        socket.connect(address);
+        this->stream = std::make_shared<frame_stream>(std::move(socket));
+        this->stream->start(
+            [this](frame_type type, std::span<const std::uint8_t> body)
+            {
+                if (type == frame_type::reply)
+                {
+                    this->replies.push_back(*protocol::decode_message<reply_message>(body));
+                }
+            },
+            [this] { this->closed = true; });
+    }
+
+    void greet(std::vector<std::uint64_t> pending = {}, std::uint64_t sender_ms = sender_start)
+    {
+        this->stream->send(frame_type::hello,
+                           hello_message{.sender = {.daemon_id = "peer", .started_ms = sender_ms},
+                                         .pending_calls = std::move(pending),
+                                         .receiver_started_ms = receiver_start});
+    }
+
+    void call(std::uint64_t id, bool idempotent)
+    {
+        this->stream->send(frame_type::call,
+                           call_message{.id = id,
+                                        .service = "s",
+                                        .route = "r",
+                                        .attempt_id = "a-" + std::to_string(id),
+                                        .method = "GET",
+                                        .target = "/",
+                                        .fields = "Host: h\r\nX-Attempt: a-" + std::to_string(id) + "\r\n",
+                                        .remaining_ms = 60'000,
+                                        .idempotent = idempotent});
+    }
+
+    std::shared_ptr<frame_stream> stream;
+    std::vector<reply_message> replies;
+    bool closed = false;
+};
+
+reply_kind kind_of(const reply_message& reply)
+{
+    return static_cast<reply_kind>(reply.kind);
+}
+
+} // namespace
+
+/// Guards against a broken connection between daemons making a call run twice or its fate be misstated.
+class peer_server_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(peer_server_test);
+    CPPUNIT_TEST(call_is_answered_on_a_new_connection);
+    CPPUNIT_TEST(finished_call_is_answered_again_without_running);
+    CPPUNIT_TEST(call_that_never_arrived_is_said_not_to_have_started);
+    CPPUNIT_TEST(abandoned_running_call_is_never_said_not_to_have_started);
+    CPPUNIT_TEST(withdrawal_with_the_call_prevents_the_start);
+    CPPUNIT_TEST(bytes_after_a_long_silence_are_not_read);
+    CPPUNIT_TEST(leaving_instance_gets_no_new_work);
+    CPPUNIT_TEST(late_response_to_another_request_is_skipped);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->state.apply({.id = "i", .address = "a", .service = "s", .slots = 10, .sequence = 1}, {});
+        this->accept();
+    }
+
+    void call_is_answered_on_a_new_connection()
+    {
+        fake_peer first{this->io, this->address()};
+        first.greet();
+        first.call(1, false);
+        this->run_until([&] { return this->instance.requests.size() == 1; });
+        first.stream->close();
+        fake_peer second{this->io, this->address()};
+        second.greet({1});
+        this->run_for(20ms);
+        this->instance.answer(0);
+        this->run_until([&] { return !second.replies.empty(); });
+        CPPUNIT_ASSERT(kind_of(second.replies.front()) == reply_kind::response);
+        CPPUNIT_ASSERT_EQUAL(std::string{"whole"}, second.replies.front().body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->instance.requests.size());
+    }
+
+    void finished_call_is_answered_again_without_running()
+    {
+        fake_peer first{this->io, this->address()};
+        first.greet();
+        first.call(1, false);
+        this->run_until([&] { return this->instance.requests.size() == 1; });
+        this->instance.answer(0);
+        this->run_until([&] { return !first.replies.empty(); });
+        first.stream->close();
+        fake_peer second{this->io, this->address()};
+        second.greet({1});
+        this->run_until([&] { return !second.replies.empty(); });
+        CPPUNIT_ASSERT(kind_of(second.replies.front()) == reply_kind::response);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->instance.requests.size());
+    }
+
+    void call_that_never_arrived_is_said_not_to_have_started()
+    {
+        fake_peer peer{this->io, this->address()};
+        peer.greet({5});
+        this->run_until([&] { return !peer.replies.empty(); });
+        CPPUNIT_ASSERT(kind_of(peer.replies.front()) == reply_kind::not_started);
+        CPPUNIT_ASSERT_EQUAL(std::string{call_reason::never_received}, peer.replies.front().reason);
+    }
+
+    /// A daemon that stayed away long enough for its calls to be withdrawn asks for one that must not run
+    /// twice and is still running.
+    void abandoned_running_call_is_never_said_not_to_have_started()
+    {
+        fake_peer first{this->io, this->address()};
+        first.greet();
+        first.call(1, false);
+        this->run_until([&] { return this->instance.requests.size() == 1; });
+        first.stream->close();
+        this->run_for(20ms);
+        this->server.tick(core::boot_clock::now() + 10s);
+        fake_peer second{this->io, this->address()};
+        second.greet({1});
+        this->run_for(20ms);
+        CPPUNIT_ASSERT(second.replies.empty());
+        this->instance.answer(0);
+        this->run_until([&] { return !second.replies.empty(); });
+        CPPUNIT_ASSERT(kind_of(second.replies.front()) == reply_kind::response);
+    }
+
+    /// Call and withdrawal were held up by a partition and arrive in one read; the caller has left.
+    void withdrawal_with_the_call_prevents_the_start()
+    {
+        fake_peer peer{this->io, this->address()};
+        peer.greet();
+        this->run_for(10ms);
+        peer.call(1, true);
+        peer.stream->send(frame_type::cancel, cancel_message{.id = 1});
+        this->run_for(30ms);
+        CPPUNIT_ASSERT(this->instance.requests.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->runner.open_calls());
+    }
+
+    void bytes_after_a_long_silence_are_not_read()
+    {
+        fake_peer peer{this->io, this->address()};
+        peer.greet();
+        this->run_for(1300ms);
+        peer.call(1, true);
+        this->run_until([&] { return peer.closed; });
+        CPPUNIT_ASSERT(this->instance.requests.empty());
+    }
+
+    void leaving_instance_gets_no_new_work()
+    {
+        this->state.deregister("i");
+        fake_peer peer{this->io, this->address()};
+        peer.greet();
+        peer.call(1, true);
+        this->run_until([&] { return !peer.replies.empty(); });
+        CPPUNIT_ASSERT(kind_of(peer.replies.front()) == reply_kind::not_started);
+        CPPUNIT_ASSERT_EQUAL(std::string{call_reason::instance_leaving}, peer.replies.front().reason);
+    }
+
+    void late_response_to_another_request_is_skipped()
+    {
+        fake_peer peer{this->io, this->address()};
+        peer.greet();
+        peer.call(1, true);
+        this->run_until([&] { return this->instance.requests.size() == 1; });
+        this->instance.requests[0]->respond(
+            {.status = 200, .fields = "X-Attempt: other\r\nX-Signature: s\r\n", .body = "foreign"});
+        this->run_until([&] { return !peer.replies.empty() || this->elapsed > 300ms; }, 400ms);
+        CPPUNIT_ASSERT(peer.replies.empty());
+    }
+
+private:
+    tcp::endpoint address() const { return this->acceptor.local_endpoint(); }
+
+    void accept()
+    {
+        this->acceptor.async_accept(
+            [this](const error_code& fault, tcp::socket socket)
+            {
+                if (!fault)
+                {
+                    this->server.accept(std::move(socket));
+                    this->accept();
+                }
+            });
+    }
+
+    template <typename Condition>
+    void run_until(Condition met, core::duration limit = 5s)
+    {
+        const core::time_point begin = core::boot_clock::now();
+        for (this->elapsed = {}; !met() && this->elapsed < limit;
+             this->elapsed = core::boot_clock::now() - begin)
+        {
+            this->io.run_one_for(10ms);
+        }
+    }
+
+    void run_for(core::duration time)
+    {
+        this->run_until([] { return false; }, time);
+    }
+
+    asio::io_context io;
+    event_log log{"test"};
+    sidecar_metrics metrics;
+    fake_instance instance{this->io};
+    instance_state state{"a"};
+    exit_runner runner{this->io,
+                       {.instance_address = this->instance.acceptor.local_endpoint(), .names = test_names()},
+                       this->state,
+                       this->log,
+                       this->metrics};
+    fleet_knowledge knowledge{{.daemon_id = "self", .started_ms = receiver_start}};
+    peer_server server{this->runner,
+                       this->knowledge,
+                       this->log,
+                       {.ratios = [] { return std::vector<call_ratio>{}; },
+                        .demand = [](const std::string&, const std::vector<customer_demand>&) {}}};
+    tcp::acceptor acceptor{this->io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
+    core::duration elapsed{};
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(peer_server_test);
+
+} // namespace laburnumreach::sidecar
