--- /dev/null
+++ b/packages/config/tests/sidecar_settings_test.cpp
@@ -0,0 +1,77 @@
+#include "laburnumreach/config/sidecar_settings.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace laburnumreach::config
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string complete = R"([daemon]
+id = "vm-1"
+zone = "a"
+first_start = true
+memory_mb = 260
+max_descriptors = 4100
+[upstream]
+service = "s"
+address = "10.0.0.1:8547"
+heartbeat_s = 1.5
+drain_s = 2
+[listen]
+address = "10.0.0.1"
+outbound = "10.0.0.1:8548"
+ready = "10.0.0.1:8546"
+control = "10.0.0.1:8540"
+peer_port = 7000
+metrics_port = 7015
+[store]
+address = "10.0.0.9:8545"
+[limits]
+stop_grace_s = 6
+retry_ratio = 0.2
+retry_slack = 47
+retry_window_s = 10
+)";
+
+} // namespace
+
+/// Guards against a sidecar that starts with settings it misread.
+class sidecar_settings_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(sidecar_settings_test);
+    CPPUNIT_TEST(complete_settings);
+    CPPUNIT_TEST(every_fault_is_reported);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void complete_settings()
+    {
+        const auto settings = parse_sidecar_settings(complete);
+        CPPUNIT_ASSERT(settings.has_value());
+        CPPUNIT_ASSERT(settings->first_start);
+        CPPUNIT_ASSERT((settings->upstream == endpoint{"10.0.0.1", 8547}));
+        CPPUNIT_ASSERT((settings->peers == endpoint{"10.0.0.1", 7000}));
+        CPPUNIT_ASSERT(settings->heartbeat_interval == 1500ms && settings->stop_grace == 6s);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{260} * 1024 * 1024, settings->memory_bytes);
+        CPPUNIT_ASSERT_EQUAL(47.0, settings->retry_slack);
+    }
+
+    void every_fault_is_reported()
+    {
+        const auto settings =
+            parse_sidecar_settings("[daemon]\nid = 7\nzon = \"a\"\n[store]\naddress = \"x\"\n");
+        CPPUNIT_ASSERT(!settings);
+        const std::string text = to_string(settings.error());
+        for (const char* part : {"'id'", "'zon'", "'zone'", "'address'", "'outbound'", "'service'"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(part, text.find(part) != std::string::npos);
+        }
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(sidecar_settings_test);
+
+} // namespace laburnumreach::config
--- a/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
@@ -47,7 +47,7 @@
     /// Applies the customers of a configuration.
     void configure(std::span<const customer> customers, core::time_point now);
 
-    /// Records the demand that another daemon reports.
+    /// Records the demand that another daemon reports; customers that it does not name are unchanged.
     void record_demand(const std::string& daemon_id, std::span<const customer_demand> demand,
                        core::time_point now);
 
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_probe.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_probe.hpp
@@ -33,7 +33,7 @@
     void run_if_due(const std::string& health_path, core::time_point now);
 
 private:
-    void on_result(instance_result result);
+    void on_result(const instance_result& result);
 
     /// Checks are paid for, and heartbeats come anyway.
     static constexpr int max_attempts = 2;
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
@@ -1,6 +1,7 @@
 #ifndef LABURNUMREACH_SIDECAR_PEER_LINK_HPP
 #define LABURNUMREACH_SIDECAR_PEER_LINK_HPP
 
+#include "laburnumreach/sidecar/demand_report.hpp"
 #include "laburnumreach/sidecar/event_log.hpp"
 #include "laburnumreach/sidecar/fleet_knowledge.hpp"
 #include "laburnumreach/sidecar/frame_stream.hpp"
@@ -93,6 +94,7 @@
     std::shared_ptr<frame_stream> stream;
     std::unordered_map<std::uint64_t, bool> open_calls; ///< Call ids; whether it was reported stalled.
     std::uint64_t incarnation = 0;                      ///< Of the peer process that holds the open calls.
+    demand_report demand_told;
     core::time_point phase_since{};
     core::time_point down_since{};
     core::time_point probed{};
--- a/packages/sidecar/src/customer_limiter.cpp
+++ b/packages/sidecar/src/customer_limiter.cpp
@@ -45,10 +45,9 @@
 {
     report& known = this->reported[daemon_id];
     known.received = now;
-    known.demands.clear();
     for (const customer_demand& entry : demand)
     {
-        known.demands.emplace(entry.customer, entry);
+        known.demands.insert_or_assign(entry.customer, entry);
     }
 }
 
--- a/packages/sidecar/src/instance_probe.cpp
+++ b/packages/sidecar/src/instance_probe.cpp
@@ -44,10 +44,10 @@
                                                .attempt_id_field = this->settings.names.attempt_id});
     this->connection->run("GET " + health_path + " HTTP/1.1\r\nHost: " + this->settings.address_text +
                               "\r\nConnection: close\r\n\r\n",
-                          {}, false, [this](instance_result result) { this->on_result(std::move(result)); });
+                          {}, false, [this](const instance_result& result) { this->on_result(result); });
 }
 
-void instance_probe::on_result(instance_result result)
+void instance_probe::on_result(const instance_result& result)
 {
     constexpr int status_ok = 200;
     const http::headers& fields = result.head.headers;
--- a/packages/sidecar/src/peer_link.cpp
+++ b/packages/sidecar/src/peer_link.cpp
@@ -149,6 +149,7 @@
     this->state = phase::up;
     this->phase_since = core::boot_clock::now();
     this->probe_open = false;
+    this->demand_told.reset();
     this->probed = {};
     for (auto& [id, reported] : this->open_calls)
     {
@@ -209,7 +210,7 @@
                                probe_message{.sequence = ++this->probe_sequence,
                                              .config_version = this->knowledge.config_version(),
                                              .member_digest = this->knowledge.digest(),
-                                             .demand = this->hooks->demand()});
+                                             .demand = this->demand_told.changes(this->hooks->demand())});
         }
         return;
     }
--- a/packages/sidecar/tests/customer_limiter_test.cpp
+++ b/packages/sidecar/tests/customer_limiter_test.cpp
@@ -1,4 +1,5 @@
 #include "laburnumreach/sidecar/customer_limiter.hpp"
+#include "laburnumreach/sidecar/demand_report.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -103,6 +104,7 @@
     CPPUNIT_TEST(cut_off_daemon_keeps_its_share);
     CPPUNIT_TEST(restarted_daemons_have_no_second_burst);
     CPPUNIT_TEST(urgent_requests_are_served_over_the_limit);
+    CPPUNIT_TEST(steady_demand_is_told_once);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -168,6 +170,19 @@
         CPPUNIT_ASSERT_EQUAL(500, urgent);
         CPPUNIT_ASSERT(others > 450);
     }
+
+    /// Guards against probes that carry all customers each time.
+    void steady_demand_is_told_once()
+    {
+        demand_report report;
+        const std::vector<customer_demand> steady{{"c", 5.0, 0.1}, {"idle", 0.1, 0.1}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report.changes(steady).size());
+        CPPUNIT_ASSERT(report.changes(steady).empty());
+        const std::vector<customer_demand> gone{{"c", 0.0, 0.1}, {"idle", 0.1, 0.1}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report.changes(gone).size());
+        report.reset();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report.changes(steady).size());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(customer_limiter_test);
 
