--- a/packages/sidecar/src/entry_router.cpp
+++ b/packages/sidecar/src/entry_router.cpp
@@ -2,6 +2,7 @@
 
 #include "laburnumreach/sidecar/call_reasons.hpp"
 #include "laburnumreach/sidecar/instance_choice.hpp"
+#include "laburnumreach/sidecar/wire_text.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -23,12 +24,6 @@
 constexpr int status_gateway_timeout = 504;
 constexpr int first_server_error = 500;
 
-std::uint32_t to_ms(core::duration value)
-{
-    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(count, 0));
-}
-
 std::optional<std::uint32_t> parse_ms(std::string_view text)
 {
     std::uint32_t value = 0;
@@ -186,20 +181,12 @@
 {
     const header_names& names = this->settings.names;
     http::headers fields = head.headers;
-    http::remove_hop_by_hop(fields);
     for (const std::string* own : {&names.deadline_ms, &names.credential, &names.customer,
                                    &names.caller_service, &names.expected_instance})
     {
         fields.erase(*own);
     }
-    std::string text;
-    for (const auto& [name, value] : fields)
-    {
-        text += name;
-        text += ": ";
-        text += value;
-        text += "\r\n";
-    }
+    std::string text = end_to_end_fields(std::move(fields));
     text += names.caller_service + ": " + this->settings.service + "\r\n";
     if (owner != nullptr)
     {
--- a/packages/sidecar/src/exit_runner.cpp
+++ b/packages/sidecar/src/exit_runner.cpp
@@ -1,39 +1,13 @@
 #include "laburnumreach/sidecar/exit_runner.hpp"
 
 #include "laburnumreach/sidecar/call_reasons.hpp"
+#include "laburnumreach/sidecar/wire_text.hpp"
 
 #include <algorithm>
 
 namespace laburnumreach::sidecar
 {
 
-namespace
-{
-
-std::uint32_t to_ms(core::duration value)
-{
-    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(count, 0));
-}
-
-/// Fields of a response that concern only the instance's connection or only this daemon.
-std::string forwarded_fields(http::headers fields, const header_names& names)
-{
-    http::remove_hop_by_hop(fields);
-    fields.erase(names.load);
-    std::string text;
-    for (const auto& [name, value] : fields)
-    {
-        text += name;
-        text += ": ";
-        text += value;
-        text += "\r\n";
-    }
-    return text;
-}
-
-} // namespace
-
 exit_runner::exit_runner(asio::io_context& context, options chosen, instance_state& state, event_log& log,
                          sidecar_metrics& metrics)
     : io(context), settings(std::move(chosen)), instance(state), events(log), counters(metrics)
@@ -355,7 +329,8 @@
         return reply;
     }
     reply.kind = static_cast<std::uint8_t>(reply_kind::response);
-    reply.fields = forwarded_fields(fields, names);
+    result.head.headers.erase(names.load);
+    reply.fields = end_to_end_fields(std::move(result.head.headers));
     reply.body = std::move(result.body);
     return reply;
 }
--- a/packages/sidecar/src/server_connection.cpp
+++ b/packages/sidecar/src/server_connection.cpp
@@ -258,9 +258,12 @@
     head += status_text(reply.status);
     head += "\r\n";
     head += reply.fields;
-    head += "Content-Length: ";
-    head += std::to_string(reply.body.size());
-    head += reply.close ? "\r\nConnection: close\r\n\r\n" : "\r\n\r\n";
+    constexpr int no_content = 204; // Has no body and must not state a length.
+    if (reply.status != no_content)
+    {
+        head.append("Content-Length: ").append(std::to_string(reply.body.size())).append("\r\n");
+    }
+    head += reply.close ? "Connection: close\r\n\r\n" : "\r\n";
     this->output.add(head);
     if (answered.head.method != "HEAD")
     {
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -22,8 +22,9 @@
 /// Time after a stop signal in which the instance still gets new work; afterwards its runs end while the
 /// callers go elsewhere.
 constexpr core::duration work_after_stop = std::chrono::milliseconds{1500};
-/// Part of the grace time that is kept for closing.
-constexpr core::duration stop_margin = std::chrono::milliseconds{300};
+/// Part of the grace time that is kept for closing; the control thread may be in a call to the store for
+/// longer than half a second.
+constexpr core::duration stop_margin = std::chrono::milliseconds{900};
 /// Least time between two reports of the load to other daemons while it is high.
 constexpr core::duration status_interval = std::chrono::milliseconds{100};
 /// Load per slot from which the load is reported without being asked for.
