--- a/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
@@ -26,9 +26,12 @@
     /// Factor on rate and burst; the operators tolerate a tenth above the limit, and the sum of the shares
     /// can exceed one while demand moves.
     double headroom = 1.05;
-    /// Part of the bucket that is kept for more urgent requests, for the least urgent ones. A customer over
-    /// its limit then has its most urgent requests served.
+    /// Part of the bucket that is kept for more urgent requests, for the least urgent ones, when a customer
+    /// is over its limit by a fifth or more. Its most urgent requests are then served.
     double urgent_reserve = 0.4;
+    /// Demand, as a multiple of the limit, from which a reserve is kept; below, every request within the
+    /// limit is due.
+    double reserve_from = 1.0;
 };
 
 /// Holds each customer to its rate and burst over all daemons. Deterministic.
@@ -86,6 +89,7 @@
         core::time_point refilled{};
         double arrivals = 0; ///< Since the last measurement.
         double demand = 0;   ///< Requests per second.
+        double reserve = 0;  ///< Tokens that the least urgent requests leave.
     };
 
     void refill(account& limited, core::time_point now) const;
@@ -102,7 +106,15 @@
     /// Age from which a daemon's report counts as its last one; reports come twice a second.
     static constexpr core::duration report_lifetime = std::chrono::milliseconds{1200};
 
-    double share_of(const std::string& name, const account& limited, core::time_point now) const;
+    /// This daemon's part of a limit, and the demand of all daemons that are heard.
+    struct division
+    {
+        double share = 0;
+        double demand = 0;
+    };
+
+    division divide(const std::string& name, const account& limited, core::time_point now) const;
+    double reserve_of(const account& limited, double demand) const;
 
     std::map<std::string, report> reported;
     std::size_t daemons;
--- a/packages/sidecar/src/customer_limiter.cpp
+++ b/packages/sidecar/src/customer_limiter.cpp
@@ -54,8 +54,7 @@
 void customer_limiter::refill(account& limited, core::time_point now) const
 {
     // At least one request fits, or a small share of a small burst would admit nothing.
-    const double reserve = this->options.urgent_reserve * limited.burst * limited.share;
-    const double capacity = std::max(limited.burst * limited.share, 1.0 + reserve);
+    const double capacity = std::max(limited.burst * limited.share, 1.0 + limited.reserve);
     limited.tokens += seconds(now - limited.refilled) * limited.rate * limited.share;
     limited.tokens = std::min(limited.tokens, capacity);
     limited.refilled = now;
@@ -71,8 +70,7 @@
     account& limited = found->second;
     limited.arrivals += 1;
     this->refill(limited, now);
-    const double kept = (1.0 - leniency) * this->options.urgent_reserve * limited.burst * limited.share;
-    if (limited.tokens < 1 + kept)
+    if (limited.tokens < 1 + (1.0 - leniency) * limited.reserve)
     {
         return false;
     }
@@ -91,7 +89,8 @@
 }
 
 /// Returns this daemon's part of what the daemons that are not heard leave over.
-double customer_limiter::share_of(const std::string& name, const account& limited, core::time_point now) const
+customer_limiter::division customer_limiter::divide(const std::string& name, const account& limited,
+                                                    core::time_point now) const
 {
     const double equal_share = 1.0 / static_cast<double>(this->daemons);
     double free_share = 1.0;
@@ -117,7 +116,17 @@
         free_share -= equal_share * static_cast<double>(this->daemons - known);
     }
     const double reserve = reserved_share * limited.rate * equal_share;
-    return std::max(free_share, 0.0) * (limited.demand + reserve) / (demand + reserve * heard);
+    return {.share = std::max(free_share, 0.0) * (limited.demand + reserve) / (demand + reserve * heard),
+            .demand = demand};
+}
+
+/// Returns the tokens that are kept for more urgent requests.
+double customer_limiter::reserve_of(const account& limited, double demand) const
+{
+    constexpr double full_excess = 0.2; // Above reserve_from, where the whole reserve is kept.
+    const double excess = demand / limited.rate - this->options.reserve_from;
+    const double part = std::clamp(excess / full_excess, 0.0, 1.0);
+    return part * this->options.urgent_reserve * limited.burst * limited.share;
 }
 
 void customer_limiter::update(core::time_point now)
@@ -138,7 +147,9 @@
         const double rate = first ? 0 : limited.arrivals / elapsed;
         limited.demand += weight * (rate - limited.demand);
         limited.arrivals = 0;
-        limited.share = this->share_of(name, limited, now);
+        const division found = this->divide(name, limited, now);
+        limited.share = found.share;
+        limited.reserve = this->reserve_of(limited, found.demand);
     }
 }
 
--- a/packages/sidecar/tests/customer_limiter_test.cpp
+++ b/packages/sidecar/tests/customer_limiter_test.cpp
@@ -104,6 +104,7 @@
     CPPUNIT_TEST(cut_off_daemon_keeps_its_share);
     CPPUNIT_TEST(restarted_daemons_have_no_second_burst);
     CPPUNIT_TEST(urgent_requests_are_served_over_the_limit);
+    CPPUNIT_TEST(demand_below_the_limit_needs_no_reserve);
     CPPUNIT_TEST(steady_demand_is_told_once);
     CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +172,27 @@
         CPPUNIT_ASSERT(others > 450);
     }
 
+    /// On a quiet day a burst up to the limit had a fifth of its least urgent requests refused, for a
+    /// reserve that no urgent request needed.
+    void demand_below_the_limit_needs_no_reserve()
+    {
+        limited_fleet fleet{1};
+        customer_limiter& limiter = fleet.limiters.front();
+        int refused = 0;
+        for (int second = 0; second < 20; ++second)
+        {
+            // 95 requests in the first tenth of the second.
+            for (int step = 0; step < 95; ++step)
+            {
+                const core::time_point at = fleet.now + step * 1ms;
+                refused += limiter.try_charge("c", 0.0, at) ? 0 : 1;
+            }
+            fleet.now += 1s;
+            limiter.update(fleet.now);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, refused);
+    }
+
     /// Guards against probes that carry all customers each time.
     void steady_demand_is_told_once()
     {
