--- a/packages/config/include/laburnumreach/config/sidecar_settings.hpp
+++ b/packages/config/include/laburnumreach/config/sidecar_settings.hpp
@@ -33,11 +33,6 @@
     /// Whether the whole fleet starts for the first time.
     bool first_start = false;
 
-    std::uint64_t memory_bytes = 0;
-    std::uint32_t max_descriptors = 0;
-
-    /// Time between two announcements of an upstream.
-    std::chrono::milliseconds heartbeat_interval{1500};
     /// Time after SIGTERM until the process is killed.
     std::chrono::milliseconds stop_grace{6000};
     /// Time after which a leaving upstream gets no new work.
--- a/packages/config/src/sidecar_settings.cpp
+++ b/packages/config/src/sidecar_settings.cpp
@@ -10,9 +10,6 @@
 
 constexpr std::size_t max_name_bytes = 128;
 constexpr std::int64_t max_port = 65'535;
-constexpr std::int64_t max_megabytes = 1 << 20;
-constexpr std::int64_t max_descriptor_count = 1 << 20;
-constexpr std::uint64_t megabyte = 1024 * 1024;
 constexpr double max_seconds = 3600;
 constexpr double max_requests = 1e6;
 
@@ -58,15 +55,10 @@
     settings.daemon_id = daemon.name("id", max_name_bytes);
     settings.zone = daemon.name("zone", max_name_bytes);
     settings.first_start = daemon.boolean("first_start", settings.first_start);
-    settings.memory_bytes =
-        megabyte * static_cast<std::uint64_t>(daemon.integer("memory_mb", std::nullopt, 1, max_megabytes));
-    settings.max_descriptors =
-        static_cast<std::uint32_t>(daemon.integer("max_descriptors", std::nullopt, 1, max_descriptor_count));
 
     toml_reader upstream = root.table("upstream");
     settings.service = upstream.name("service", max_name_bytes);
     settings.upstream = read_endpoint(upstream, "address");
-    settings.heartbeat_interval = read_seconds(upstream, "heartbeat_s", settings.heartbeat_interval);
     settings.drain_limit = read_seconds(upstream, "drain_s", settings.drain_limit);
 
     toml_reader listen = root.table("listen");
--- a/packages/config/tests/sidecar_settings_test.cpp
+++ b/packages/config/tests/sidecar_settings_test.cpp
@@ -14,12 +14,9 @@
 id = "vm-1"
 zone = "a"
 first_start = true
-memory_mb = 260
-max_descriptors = 4100
 [upstream]
 service = "s"
 address = "10.0.0.1:8547"
-heartbeat_s = 1.5
 drain_s = 2
 [listen]
 address = "10.0.0.1"
@@ -55,8 +52,7 @@
         CPPUNIT_ASSERT(settings->first_start);
         CPPUNIT_ASSERT((settings->upstream == endpoint{"10.0.0.1", 8547}));
         CPPUNIT_ASSERT((settings->peers == endpoint{"10.0.0.1", 7000}));
-        CPPUNIT_ASSERT(settings->heartbeat_interval == 1500ms && settings->stop_grace == 6s);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{260} * 1024 * 1024, settings->memory_bytes);
+        CPPUNIT_ASSERT(settings->drain_limit == 2s && settings->stop_grace == 6s);
         CPPUNIT_ASSERT_EQUAL(47.0, settings->retry_slack);
     }
 
--- a/packages/sidecar/include/laburnumreach/sidecar/entry_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/entry_router.hpp
@@ -36,7 +36,7 @@
         header_names names;
         repeat_budget_options repeats;
         /// Ratio for routes whose runs make calls: those calls count as repeats at the services further on.
-        double caller_repeat_ratio = 0.01;
+        double caller_repeat_ratio = 0;
         /// Repeats that the whole fleet may send beside the ratio within the window.
         double fleet_repeat_slack = 0;
         customer_limiter_options quota;
--- a/packages/sidecar/include/laburnumreach/sidecar/repeat_budget.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/repeat_budget.hpp
@@ -13,9 +13,9 @@
 struct repeat_budget_options
 {
     /// Repeats allowed for each request within the window.
-    double ratio = 0.15;
+    double ratio = 0.0;
     /// Repeats allowed beside the ratio within the window.
-    double slack = 1.0;
+    double slack = 0.0;
     core::duration window = std::chrono::seconds{10};
 };
 
--- a/packages/sidecar/src/entry_router.cpp
+++ b/packages/sidecar/src/entry_router.cpp
@@ -15,7 +15,6 @@
 namespace
 {
 
-constexpr int status_bad_request = 400;
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_too_many_requests = 429;
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -25,6 +25,10 @@
 /// Part of the grace time that is kept for closing; the control thread may be in a call to the store for
 /// longer than half a second.
 constexpr core::duration stop_margin = std::chrono::milliseconds{900};
+/// Parts of the fleet's ratio of repeats that each daemon uses: for routes whose runs make no calls, and for
+/// those whose runs do. Calls of a repeated run count as repeats further on, so the parts of a chain add up.
+constexpr double leaf_repeat_part = 0.75;
+constexpr double caller_repeat_part = 0.05;
 /// Least time between two reports of the load to other daemons while it is high.
 constexpr core::duration status_interval = std::chrono::milliseconds{100};
 /// Load per slot from which the load is reported without being asked for.
@@ -82,7 +86,9 @@
               .zone = this->settings.zone,
               .service = this->settings.service,
               .names = this->platform.headers,
-              .repeats = {.window = this->settings.retry_window},
+              .repeats = {.ratio = leaf_repeat_part * this->settings.retry_ratio,
+                          .window = this->settings.retry_window},
+              .caller_repeat_ratio = caller_repeat_part * this->settings.retry_ratio,
               .fleet_repeat_slack = this->settings.retry_slack,
               .quota = {.full_at_start = this->settings.first_start}},
              this->runner, log, this->counters),
