Remove unused members of the sidecar

Found on reading the change: no caller of slot_queue::least_important and instance_connection::was_reused, and an include without use. All 41 sidecar tests pass; the linter was not run on this commit.

--- a/packages/sidecar/include/laburnumreach/sidecar/instance_connection.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_connection.hpp
@@ -65,9 +65,6 @@
     /// Returns whether the connection can carry another request.
     bool reusable(core::time_point now) const;
 
-    /// Returns whether a request was already run on this connection before the current one.
-    bool was_reused() const noexcept { return this->requests > 1; }
-
 private:
     void connect();
     void send();
@@ -95,7 +92,6 @@
     bool connected = false;
     bool reading = false;
     bool keep_open = false;
-    std::uint64_t requests = 0;
     core::duration idle_limit{};
     core::time_point idle_since{};
 };
--- a/packages/sidecar/include/laburnumreach/sidecar/slot_queue.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/slot_queue.hpp
@@ -43,9 +43,6 @@
     /// Removes the least important call, the newest of those first.
     std::optional<waiting_call> pop_least_important();
 
-    /// Returns the least important waiting call.
-    const waiting_call* least_important() const;
-
     /// Removes a call.
     /// @returns whether it was waiting
     bool remove(std::uint64_t key);
--- a/packages/sidecar/src/instance_connection.cpp
+++ b/packages/sidecar/src/instance_connection.cpp
@@ -55,7 +55,6 @@
     this->decoder.reset();
     this->head_scanned = 0;
     this->keep_open = false;
-    ++this->requests;
     if (this->connected)
     {
         this->send();
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -1,7 +1,5 @@
 #include "laburnumreach/sidecar/sidecar_daemon.hpp"
 
-#include "laburnumreach/sidecar/call_reasons.hpp"
-
 #include <algorithm>
 #include <csignal>
 
--- a/packages/sidecar/src/slot_queue.cpp
+++ b/packages/sidecar/src/slot_queue.cpp
@@ -54,15 +54,6 @@
     return this->take(std::get<std::uint64_t>(*this->by_rank.rbegin()));
 }
 
-const waiting_call* slot_queue::least_important() const
-{
-    if (this->by_rank.empty())
-    {
-        return nullptr;
-    }
-    return &this->calls.at(std::get<std::uint64_t>(*this->by_rank.rbegin()));
-}
-
 bool slot_queue::remove(std::uint64_t key)
 {
     if (!this->calls.contains(key))
