--- a/packages/sidecar/include/laburnumreach/sidecar/entry_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/entry_router.hpp
@@ -12,6 +12,7 @@
 #include "laburnumreach/sidecar/load_shedder.hpp"
 #include "laburnumreach/sidecar/peer_link.hpp"
 #include "laburnumreach/sidecar/repeat_budget.hpp"
+#include "laburnumreach/sidecar/route_demand_meter.hpp"
 #include "laburnumreach/sidecar/sidecar_metrics.hpp"
 #include "laburnumreach/sidecar/weighted_rotation.hpp"
 
@@ -54,13 +55,18 @@
     const std::shared_ptr<const fleet_routes>& routes() const noexcept { return this->config; }
 
     void add_link(const std::shared_ptr<peer_link>& link);
-    void remove_link(const std::string& daemon_id);
 
     void on_reply(reply_message reply);
     void on_lost(std::uint64_t call_id);
     void on_stalled(std::uint64_t call_id);
     void on_status(const std::string& daemon_id, const instance_status& status);
 
+    /// Records the demand that another daemon reports with a probe.
+    void record_demand(const std::string& daemon_id, const probe_message& probe);
+
+    /// Returns the rates at which callers ask this daemon for routes.
+    std::vector<route_demand> route_rates() const { return this->asked.rates(); }
+
     /// Ends calls whose time is over and places those that wait. Call it every few milliseconds.
     void tick(core::time_point now);
 
@@ -105,6 +111,7 @@
                         core::duration retry_after = {});
     core::duration retry_wait(core::duration latency_objective);
     void on_caller_left(std::uint64_t id);
+    void forget_unreachable();
     void withdraw(entry_call& call);
     std::string forwarded_fields(const http::request_head& head, const customer* owner) const;
 
@@ -124,6 +131,7 @@
     std::unordered_map<std::string, std::uint32_t> nested_calls;
     customer_limiter customers;
     load_shedder shedding;
+    route_demand_meter asked;
     std::uint64_t next_id = 1;
     bool refusing = false;
 };
--- a/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
@@ -19,14 +19,21 @@
 /// Settings of a load_shedder.
 struct load_shedder_options
 {
-    /// Calls that run or wait for each usable slot, above which a service sheds.
-    double target_load = 1.0;
-    /// Change of the shed level for each step and unit of load above the target.
-    double gain_up = 0.25;
-    /// The same below the target; lower, so that admission returns without overshoot.
-    double gain_down = 0.12;
-    /// Largest change of the level in one step.
-    double max_step = 0.15;
+    /// Wait that a full service keeps at its instances, so that no slot idles while arrivals vary.
+    core::duration target_wait = std::chrono::milliseconds{30};
+    /// Time in which calls that wait beyond that are worked off; shorter than it takes a caller's request to
+    /// reach the end of its chain, the level would swing.
+    core::duration drain_time = std::chrono::milliseconds{1500};
+    /// Part of the capacity that is given to new calls however many wait: the queue serves the urgent ones
+    /// first.
+    double least_admitted = 0.7;
+    /// Change of the correction per second and unit of load above the target.
+    double gain_down = 0.1;
+    /// The same below the target; larger, since load below the target is at most one.
+    double gain_up = 0.3;
+    /// Bounds of the correction of the estimated capacity.
+    double least_correction = 0.3;
+    double largest_correction = 1.5;
     core::duration step = std::chrono::milliseconds{100};
     /// Calls per request of a route from which on the called service counts for its admission.
     double least_calls = 0.05;
@@ -40,6 +47,10 @@
 /// frees all the calls that it would cause; one turned away at the end wastes what was done above it. So
 /// each entry knows which services a route reaches, from call ratios that the daemons observe, and sheds by
 /// priority, the least important routes that reach the service first.
+///
+/// The level is computed from the demand of all daemons and the capacity of the instances, since the load at
+/// the end of a chain shows a decision only after half a second or more; control by the load alone overshoots
+/// and then turns urgent requests away for seconds. The load corrects the estimate of the capacity.
 class load_shedder
 {
 public:
@@ -57,6 +68,10 @@
     /// Records observed call ratios.
     void record_ratios(std::span<const call_ratio> ratios);
 
+    /// Records the requests that reach a daemon, this one or another; replaces its former report.
+    void record_demand(const std::string& daemon_id, std::span<const route_demand> demand,
+                       core::time_point now);
+
     /// Adapts the levels. Call it often; steps are taken when due.
     void update(core::time_point now);
 
@@ -83,9 +98,34 @@
     /// Calls per request, by service.
     using visits = std::unordered_map<std::string, double>;
 
+    /// Calls per second that a service is asked for, most urgent first.
+    using demand_by_rank = std::map<urgency, double>;
+
+    /// State of one service over its instances.
+    struct service_state
+    {
+        double slots = 0;
+        double calls = 0;        ///< That run or wait.
+        double capacity = 0;     ///< Calls per second with all slots in use.
+        double correction = 1.0; ///< Factor on the capacity, from the load seen.
+        double level = 0;
+        bool available = false;
+    };
+
+    /// Demands that one daemon reported.
+    struct demand_record
+    {
+        std::vector<route_demand> demand;
+        core::time_point received{};
+    };
+
     bool sheds_at(const std::string& service, double calls, urgency rank, double draw) const;
     double highest_level(const std::string& service) const;
-    double next_level(const std::string& service, double level, double load);
+    void sum_instances();
+    std::unordered_map<std::string, demand_by_rank> sum_demand(core::time_point now) const;
+    void correct(service_state& state, double elapsed) const;
+    double admitted_rate(const service_state& state) const;
+    double level_for(const std::string& service, const demand_by_rank& demand, double rate) const;
     void recompute_visits();
     void add_called(const std::string& route_name, double factor, int depth, visits& total) const;
     void add_visits(const std::string& route_name, double factor, int depth, visits& total) const;
@@ -95,11 +135,10 @@
     std::unordered_map<std::string, std::set<urgency>> route_ranks; ///< Of callers' requests, by route name.
     std::map<std::string, instance_status> instances;               ///< By daemon.
     std::unordered_map<std::string, std::unordered_map<std::string, double>> ratios; ///< Parent to child.
-    std::unordered_map<std::string, visits> reached; ///< Through calls of its runs, by route name. ///< By
-                                                     ///< route name.
+    std::unordered_map<std::string, visits> reached; ///< Through calls of its runs, by route name.
     std::unordered_map<std::string, std::vector<urgency>> ranks; ///< By service, least urgent first.
-    std::unordered_map<std::string, double> levels;              ///< By service.
-    std::unordered_map<std::string, double> loads;               ///< By service.
+    std::unordered_map<std::string, service_state> services;     ///< By name.
+    std::unordered_map<std::string, demand_record> demands;      ///< By daemon.
     core::time_point stepped{};
 };
 
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
@@ -24,6 +24,7 @@
     std::function<void(const std::string& daemon_id, const instance_status&)> status;
     std::function<void(const std::vector<call_ratio>&)> ratios;
     std::function<std::vector<customer_demand>()> demand;
+    std::function<std::vector<route_demand>()> routes;
 };
 
 /// Connection to one other daemon, on which calls are sent to the instance beside it.
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
@@ -111,13 +111,22 @@
     instance_status load;
 };
 
+/// Requests of one route and urgency that reach a daemon from callers, before any is shed.
+struct route_demand
+{
+    std::string route;
+    std::int32_t rank = 0; ///< An urgency.
+    double rate = 0;       ///< Requests per second.
+};
+
 /// Periodic probe of a connection.
 struct probe_message
 {
     std::uint64_t sequence = 0;
     std::uint64_t config_version = 0;
     std::uint64_t member_digest = 0;
-    std::vector<customer_demand> demand;
+    std::vector<customer_demand> demand; ///< Those that moved since the last probe.
+    std::vector<route_demand> routes;    ///< All that are asked for.
 };
 
 /// Answer to a probe.
@@ -179,6 +188,12 @@
     static auto fields(auto& m) { return std::tie(m.customer, m.rate, m.share); }
 };
 
+template <>
+struct message_layout<sidecar::route_demand>
+{
+    static auto fields(auto& m) { return std::tie(m.route, m.rank, m.rate); }
+};
+
 template <>
 struct message_layout<sidecar::hello_message>
 {
@@ -219,7 +234,10 @@
 template <>
 struct message_layout<sidecar::probe_message>
 {
-    static auto fields(auto& m) { return std::tie(m.sequence, m.config_version, m.member_digest, m.demand); }
+    static auto fields(auto& m)
+    {
+        return std::tie(m.sequence, m.config_version, m.member_digest, m.demand, m.routes);
+    }
 };
 
 template <>
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
@@ -21,7 +21,7 @@
     struct hooks
     {
         std::function<std::vector<call_ratio>()> ratios;
-        std::function<void(const std::string& daemon_id, const std::vector<customer_demand>&)> demand;
+        std::function<void(const std::string& daemon_id, const probe_message&)> demand;
     };
 
     peer_server(exit_runner& calls_runner, fleet_knowledge& fleet, event_log& log, hooks owner_hooks);
--- a/packages/sidecar/src/entry_router.cpp
+++ b/packages/sidecar/src/entry_router.cpp
@@ -67,12 +67,11 @@
     this->links[link->target().daemon_id] = link;
 }
 
-void entry_router::remove_link(const std::string& daemon_id)
+void entry_router::record_demand(const std::string& daemon_id, const probe_message& probe)
 {
-    this->links.erase(daemon_id);
-    this->instances.erase(daemon_id);
-    this->shedding.forget(daemon_id);
-    this->customers.forget(daemon_id);
+    const core::time_point now = core::boot_clock::now();
+    this->customers.record_demand(daemon_id, probe.demand, now);
+    this->shedding.record_demand(daemon_id, probe.routes, now);
 }
 
 void entry_router::set_daemon_count(std::size_t count)
@@ -133,6 +132,10 @@
     const bool nested = owner == nullptr && this->config->has_customers();
     const urgency rank = urgency_of(matched, owner);
     const std::string service = this->rotations[matched.name].next(matched.destinations);
+    if (!nested)
+    {
+        this->asked.record(matched.name, rank);
+    }
     if (!nested && this->shedding.sheds(matched, service, rank, this->random.uniform()))
     {
         this->counters.count("shed_total", matched.name);
@@ -447,6 +450,19 @@
     this->calls.erase(found);
 }
 
+/// Takes instances that cannot be reached out of the capacity; the next status after a reconnect brings them
+/// back.
+void entry_router::forget_unreachable()
+{
+    for (const auto& [daemon_id, link] : this->links)
+    {
+        if (!link->usable())
+        {
+            this->shedding.forget(daemon_id);
+        }
+    }
+}
+
 void entry_router::tick(core::time_point now)
 {
     while (!this->by_deadline.empty() && this->by_deadline.begin()->first <= now)
@@ -477,6 +493,11 @@
         }
     }
     this->customers.update(now);
+    if (this->asked.update(now))
+    {
+        this->shedding.record_demand(this->settings.daemon_id, this->asked.rates(), now);
+        this->forget_unreachable();
+    }
     this->shedding.update(now);
 }
 
--- a/packages/sidecar/src/load_shedder.cpp
+++ b/packages/sidecar/src/load_shedder.cpp
@@ -11,6 +11,14 @@
 /// Longest call chain that is followed.
 constexpr int max_depth = 10;
 
+/// Age from which a daemon's report of its demand no longer counts; reports come twice a second.
+constexpr core::duration report_lifetime = std::chrono::milliseconds{1200};
+
+double seconds(core::duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
 } // namespace
 
 void load_shedder::configure(const fleet_routes& routes)
@@ -129,54 +137,137 @@
     }
 }
 
+void load_shedder::record_demand(const std::string& daemon_id, std::span<const route_demand> demand,
+                                 core::time_point now)
+{
+    this->demands.insert_or_assign(daemon_id,
+                                   demand_record{.demand = {demand.begin(), demand.end()}, .received = now});
+}
+
 void load_shedder::update(core::time_point now)
 {
     if (now - this->stepped < this->options.step)
     {
         return;
     }
+    const double elapsed = std::min(seconds(now - this->stepped), 1.0);
     this->stepped = now;
-    struct sums
+    this->sum_instances();
+    const auto asked = this->sum_demand(now);
+    for (auto& [service, state] : this->services)
     {
-        double load = 0;
-        double slots = 0;
-    };
-    std::unordered_map<std::string, sums> by_service;
+        if (!state.available)
+        {
+            // Without an instance every request that needs the service would fail after the work above it.
+            state.level = this->highest_level(service);
+            continue;
+        }
+        this->correct(state, elapsed);
+        const auto demand = asked.find(service);
+        state.level = this->level_for(service, demand == asked.end() ? demand_by_rank{} : demand->second,
+                                      this->admitted_rate(state));
+    }
+}
+
+void load_shedder::sum_instances()
+{
+    for (auto& [service, state] : this->services)
+    {
+        state = {.correction = state.correction, .level = state.level};
+    }
     for (const auto& [daemon, status] : this->instances)
     {
-        sums& total = by_service[status.service];
-        total.load += status.running + status.queued;
-        total.slots += status.slots;
+        service_state& state = this->services[status.service];
+        state.available = true;
+        state.slots += status.slots;
+        state.calls += status.running + status.queued;
+        state.capacity += status.slots * 1000.0 / std::max(status.run_ms, 1U);
     }
-    for (auto& [service, level] : this->levels)
+}
+
+std::unordered_map<std::string, load_shedder::demand_by_rank>
+load_shedder::sum_demand(core::time_point now) const
+{
+    std::unordered_map<std::string, demand_by_rank> asked;
+    for (const auto& [daemon, record] : this->demands)
     {
-        // Without an instance every request that needs the service would fail after the work above it.
-        const auto total = by_service.find(service);
-        const bool available = total != by_service.end();
-        level = available ? this->next_level(service, level,
-                                             total->second.load / std::max(total->second.slots, 1.0))
-                          : this->highest_level(service);
-        by_service.erase(service);
+        if (now - record.received > report_lifetime)
+        {
+            continue;
+        }
+        for (const route_demand& entry : record.demand)
+        {
+            visits total;
+            this->add_visits(entry.route, entry.rate, 0, total);
+            for (const auto& [service, rate] : total)
+            {
+                asked[service][entry.rank] += rate;
+            }
+        }
     }
-    for (const auto& [service, total] : by_service)
+    return asked;
+}
+
+/// Adapts the estimate of the capacity to the load seen. While nothing is shed, low load says nothing about
+/// the capacity, and the estimate returns to the computed one.
+void load_shedder::correct(service_state& state, double elapsed) const
+{
+    const double target = state.slots + state.capacity * seconds(this->options.target_wait);
+    const double excess = (state.calls - target) / std::max(state.slots, 1.0);
+    constexpr double largest_excess = 1.0; // A longer queue says no more about the capacity.
+    double change = 0;
+    if (excess > 0)
+    {
+        change = -this->options.gain_down * std::min(excess, largest_excess);
+    }
+    else if (state.level > 0)
+    {
+        change = -this->options.gain_up * excess;
+    }
+    else
     {
-        this->levels.emplace(service, 0.0);
+        constexpr double return_rate = 0.3; // Per second.
+        change = return_rate * (1.0 - state.correction);
     }
+    state.correction = std::clamp(state.correction + change * elapsed, this->options.least_correction,
+                                  this->options.largest_correction);
 }
 
-double load_shedder::highest_level(const std::string& service) const
+/// Returns the calls per second that a service can take, less those that wait too long already.
+double load_shedder::admitted_rate(const service_state& state) const
+{
+    const double target = state.slots + state.capacity * seconds(this->options.target_wait);
+    const double estimate = state.capacity * state.correction;
+    const double worked_off = (state.calls - target) / seconds(this->options.drain_time);
+    return std::max(estimate - worked_off, estimate * this->options.least_admitted);
+}
+
+/// Returns the level at which the demand that is left fits a rate of calls.
+double load_shedder::level_for(const std::string& service, const demand_by_rank& demand, double rate) const
 {
     const auto known = this->ranks.find(service);
-    return known == this->ranks.end() ? 0.0 : static_cast<double>(known->second.size());
+    if (known == this->ranks.end())
+    {
+        return 0.0;
+    }
+    double level = static_cast<double>(known->second.size());
+    for (auto rank = known->second.rbegin(); rank != known->second.rend(); ++rank, level -= 1.0)
+    {
+        const auto asked = demand.find(*rank);
+        const double calls = asked == demand.end() ? 0.0 : asked->second;
+        if (calls > rate)
+        {
+            return level - rate / calls;
+        }
+        rate -= calls;
+    }
+    return 0.0;
 }
 
-double load_shedder::next_level(const std::string& service, double level, double load)
+double load_shedder::highest_level(const std::string& service) const
 {
-    this->loads[service] = load;
-    const double excess = load - this->options.target_load;
-    const double gain = excess > 0 ? this->options.gain_up : this->options.gain_down;
-    const double change = std::clamp(gain * excess, -this->options.max_step, this->options.max_step);
-    return std::clamp(level + change, 0.0, this->highest_level(service));
+    const auto known = this->ranks.find(service);
+    return known == this->ranks.end() ? 0.0 : static_cast<double>(known->second.size());
 }
 
 bool load_shedder::sheds(const route& requested, const std::string& service, urgency rank, double draw) const
@@ -219,21 +310,26 @@
 std::vector<std::pair<std::string, double>> load_shedder::active_levels() const
 {
     std::vector<std::pair<std::string, double>> active;
-    std::copy_if(this->levels.begin(), this->levels.end(), std::back_inserter(active),
-                 [](const auto& entry) { return entry.second > 0; });
+    for (const auto& [service, state] : this->services)
+    {
+        if (state.level > 0)
+        {
+            active.emplace_back(service, state.level);
+        }
+    }
     return active;
 }
 
 double load_shedder::load(const std::string& service) const
 {
-    const auto known = this->loads.find(service);
-    return known == this->loads.end() ? 0.0 : known->second;
+    const auto known = this->services.find(service);
+    return known == this->services.end() ? 0.0 : known->second.calls / std::max(known->second.slots, 1.0);
 }
 
 double load_shedder::level(const std::string& service) const
 {
-    const auto known = this->levels.find(service);
-    return known == this->levels.end() ? 0.0 : known->second;
+    const auto known = this->services.find(service);
+    return known == this->services.end() ? 0.0 : known->second.level;
 }
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/src/peer_link.cpp
+++ b/packages/sidecar/src/peer_link.cpp
@@ -210,7 +210,8 @@
                                probe_message{.sequence = ++this->probe_sequence,
                                              .config_version = this->knowledge.config_version(),
                                              .member_digest = this->knowledge.digest(),
-                                             .demand = this->demand_told.changes(this->hooks->demand())});
+                                             .demand = this->demand_told.changes(this->hooks->demand()),
+                                             .routes = this->hooks->routes()});
         }
         return;
     }
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -78,8 +78,8 @@
           this->instance, log, this->counters),
       peers(this->runner, this->knowledge, log,
             {.ratios = [this] { return this->ratio_meter.ratios(); },
-             .demand = [this](const std::string& daemon_id, const std::vector<customer_demand>& demand)
-             { this->router.limiter().record_demand(daemon_id, demand, core::boot_clock::now()); }}),
+             .demand = [this](const std::string& daemon_id, const probe_message& probe)
+             { this->router.record_demand(daemon_id, probe); }}),
       router({.daemon_id = this->settings.daemon_id,
               .zone = this->settings.zone,
               .service = this->settings.service,
@@ -108,6 +108,7 @@
     hooks->ratios = [this](const std::vector<call_ratio>& ratios)
     { this->router.shedder().record_ratios(ratios); };
     hooks->demand = [this] { return this->router.limiter().demand(); };
+    hooks->routes = [this] { return this->router.route_rates(); };
     return hooks;
 }
 
--- /dev/null
+++ b/packages/sidecar/tests/server_connection_test.cpp
@@ -0,0 +1,199 @@
+#include "laburnumreach/sidecar/server_connection.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace laburnumreach::sidecar
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t max_body_bytes = 100;
+
+std::string get(const std::string& target, const std::string& fields = {})
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n";
+}
+
+} // namespace
+
+/// Guards what callers see of one connection: order, early ends and requests that nobody waits for any more.
+class server_connection_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(server_connection_test);
+    CPPUNIT_TEST(request_of_a_caller_that_left_is_not_handled);
+    CPPUNIT_TEST(leaving_caller_cancels_its_request);
+    CPPUNIT_TEST(pipelined_requests_are_handled_at_once_and_answered_in_order);
+    CPPUNIT_TEST(requests_behind_a_closing_one_are_not_handled);
+    CPPUNIT_TEST(two_framings_are_refused);
+    CPPUNIT_TEST(long_body_is_refused);
+    CPPUNIT_TEST(chunked_body_is_read_in_parts);
+    CPPUNIT_TEST(idle_connection_closes_after_its_limit);
+    CPPUNIT_TEST(incomplete_head_closes_after_its_limit);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->context->limits = []
+        {
+            caller_limits limits;
+            limits.max_body_bytes = max_body_bytes;
+            return limits;
+        };
+        this->context->handle = [this](const std::shared_ptr<exchange>& request)
+        {
+            this->requests.push_back(request);
+            request->cancelled = [this] { ++this->cancelled; };
+        };
+        tcp::acceptor acceptor{this->io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
+        this->caller.connect(acceptor.local_endpoint());
+        this->connection = std::make_shared<server_connection>(acceptor.accept(), this->context);
+    }
+
+    /// Guards against work for a caller whose request and close wait in the socket together: the close is
+    /// seen before the request is handled, or the instance runs a request half a second after its caller
+    /// left.
+    void request_of_a_caller_that_left_is_not_handled()
+    {
+        this->send(get("/gone"));
+        this->caller.close();
+        this->connection->start();
+        this->run();
+        CPPUNIT_ASSERT(this->requests.empty());
+        CPPUNIT_ASSERT(!this->connection->is_open());
+    }
+
+    void leaving_caller_cancels_its_request()
+    {
+        this->connection->start();
+        this->send(get("/a"));
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->requests.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->context->unanswered);
+        this->caller.close();
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(1, this->cancelled);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->context->unanswered);
+    }
+
+    void pipelined_requests_are_handled_at_once_and_answered_in_order()
+    {
+        this->connection->start();
+        this->send(get("/a") + get("/b"));
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->requests.size());
+        this->requests[1]->respond({.status = 200, .fields = {}, .body = "second"});
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::string{}, this->received());
+        this->requests[0]->respond({.status = 200, .fields = {}, .body = "first"});
+        this->run();
+        const std::string answers = this->received();
+        CPPUNIT_ASSERT(answers.find("first") != std::string::npos);
+        CPPUNIT_ASSERT(answers.find("first") < answers.find("second"));
+    }
+
+    /// The caller takes the requests behind a closing response for unread and sends them again, so they must
+    /// not go on here.
+    void requests_behind_a_closing_one_are_not_handled()
+    {
+        this->connection->start();
+        this->send(get("/a", "Connection: close\r\n") + get("/b"));
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->requests.size());
+        this->requests[0]->respond({.status = 200});
+        this->run();
+        CPPUNIT_ASSERT(this->received().find("Connection: close") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->requests.size());
+    }
+
+    /// Two framings in one request are read differently by different parsers, which lets a request hide in a
+    /// body.
+    void two_framings_are_refused()
+    {
+        this->connection->start();
+        this->send(
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+        this->run();
+        CPPUNIT_ASSERT(this->requests.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 400"}, this->received().substr(0, 12));
+    }
+
+    void long_body_is_refused()
+    {
+        this->connection->start();
+        this->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n");
+        this->run();
+        CPPUNIT_ASSERT(this->requests.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 413"}, this->received().substr(0, 12));
+    }
+
+    void chunked_body_is_read_in_parts()
+    {
+        this->connection->start();
+        this->send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab");
+        this->run();
+        CPPUNIT_ASSERT(this->requests.empty());
+        this->send("c\r\n2\r\nde\r\n0\r\n\r\n");
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->requests.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"abcde"}, this->requests[0]->body);
+    }
+
+    void idle_connection_closes_after_its_limit()
+    {
+        this->connection->start();
+        this->run();
+        const core::time_point now = core::boot_clock::now();
+        this->connection->check_timeouts(now + caller_limits{}.idle_timeout - 1s);
+        CPPUNIT_ASSERT(this->connection->is_open());
+        this->connection->check_timeouts(now + caller_limits{}.idle_timeout + 1s);
+        CPPUNIT_ASSERT(!this->connection->is_open());
+    }
+
+    void incomplete_head_closes_after_its_limit()
+    {
+        this->connection->start();
+        this->send("GET / HTTP/1.1\r\nHo");
+        this->run();
+        const core::time_point now = core::boot_clock::now();
+        this->connection->check_timeouts(now + caller_limits{}.header_timeout + 1s);
+        CPPUNIT_ASSERT(!this->connection->is_open());
+    }
+
+private:
+    void send(const std::string& bytes) { asio::write(this->caller, asio::buffer(bytes)); }
+
+    /// Lets the connection act on all that has arrived.
+    void run()
+    {
+        this->io.restart();
+        while (this->io.run_one_for(20ms) > 0)
+        {
+        }
+    }
+
+    /// Returns the bytes that the caller got and did not take yet.
+    std::string received()
+    {
+        this->caller.non_blocking(true);
+        std::string bytes(64 * 1024, '\0');
+        error_code fault; // Nothing to read is an empty answer.
+        bytes.resize(this->caller.read_some(asio::buffer(bytes), fault));
+        this->caller.non_blocking(false);
+        return bytes;
+    }
+
+    asio::io_context io;
+    std::shared_ptr<server_context> context = std::make_shared<server_context>();
+    std::vector<std::shared_ptr<exchange>> requests;
+    int cancelled = 0;
+    tcp::socket caller{io};
+    std::shared_ptr<server_connection> connection;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(server_connection_test);
+
+} // namespace laburnumreach::sidecar
