Call the store less often

Each daemon waited 2 s for a change and called four times a second while the store was away. Two daemons of a zone keep the short waits; the others wait 15 s and pause up to 4 s, since peers spread a configuration. Test: store_follower_test.

--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -40,6 +40,10 @@
     /// Hands over the members read from the store. Thread safe.
     void post_members(std::vector<member_record> found);
 
+    /// Told, several times a second, whether this daemon is among those of its zone that call the store
+    /// often. Set it before run().
+    std::function<void(bool)> leading_changed = [](bool) {};
+
     const member_record& own_record() const noexcept { return this->knowledge.own(); }
 
 private:
@@ -63,6 +67,7 @@
     void note_loop_delay(core::time_point now);
     void log_shedding();
     void check_connections(core::time_point now);
+    bool is_leading() const;
     void sync_links();
     bool apply_config(const std::string& document);
     void on_control(const std::shared_ptr<exchange>& request);
--- a/packages/sidecar/include/laburnumreach/sidecar/store_follower.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/store_follower.hpp
@@ -27,19 +27,20 @@
 
 /// The platform's store as the sidecar uses it. Calls block.
 template <typename Store>
-concept fleet_store = requires(Store store, const member_record& record, std::uint64_t revision)
+concept fleet_store = requires(Store store, const member_record& record, std::uint64_t revision,
+                               std::chrono::milliseconds wait, bool may_be_old)
 {
     {
         store.announce(record)
         } -> std::same_as<core::result<bool>>;
     {
-        store.list_members()
+        store.list_members(may_be_old)
         } -> std::same_as<core::result<std::vector<member_record>>>;
     {
         store.read_config()
         } -> std::same_as<core::result<stored_config>>;
     {
-        store.await_config(revision)
+        store.await_config(revision, wait)
         } -> std::same_as<core::result<std::optional<stored_config>>>;
     store.interrupt();
 };
@@ -53,6 +54,10 @@
 
 /// Keeps this daemon's record in the store and follows the configuration and the members there. Runs on the
 /// control thread; the fleet goes on without the store while it is away.
+///
+/// All daemons wait for changes, but only a few in each zone, the leading ones, take care to notice soon that
+/// a connection to the store went silent or that a store is back: each call is paid for, and the others learn
+/// a configuration from their peers within a second.
 template <fleet_store Store>
 class store_follower
 {
@@ -85,6 +90,18 @@
         this->store.interrupt();
     }
 
+    /// Sets whether this daemon is among the few of its zone that call the store often. Any thread may call
+    /// it.
+    void set_leading(bool value) { this->leading = value; }
+
+    /// Returns the pause after the failures so far.
+    std::chrono::milliseconds retry_pause() const
+    {
+        constexpr int most_doublings = 10;
+        const auto pause = first_pause * (1 << std::min(this->failures, most_doublings));
+        return std::min<std::chrono::milliseconds>(pause, this->leading ? leading_pause : longest_pause);
+    }
+
     /// Does what is due next. Public for tests.
     /// @returns false when the store failed
     bool step()
@@ -102,7 +119,8 @@
         const core::time_point now = core::boot_clock::now();
         if (!this->listed || now - *this->listed > list_interval)
         {
-            auto members = this->store.list_members();
+            const bool repairs = this->listed.has_value();
+            auto members = this->store.list_members(repairs);
             if (!members)
             {
                 return this->note(members.error().message);
@@ -118,8 +136,16 @@
     /// Time between two lists of the members; daemons learn of new ones from them directly, the list only
     /// repairs what a partition kept apart.
     static constexpr core::duration list_interval = std::chrono::seconds{10};
-    /// Pause after a failed call, so that an overloaded store is not pressed.
-    static constexpr std::chrono::milliseconds retry_pause{250};
+    /// Pause after the first failed call; each further failure doubles it.
+    static constexpr std::chrono::milliseconds first_pause{250};
+    /// Longest pause of a leading daemon. With the spread to its peers it stays within the time in which a
+    /// configuration must be in force.
+    static constexpr std::chrono::milliseconds leading_pause{1000};
+    /// Longest pause of the other daemons.
+    static constexpr std::chrono::milliseconds longest_pause{4000};
+    /// Longest wait for a change: a connection that went silent is noticed after this time and a margin.
+    static constexpr std::chrono::milliseconds leading_wait{2000};
+    static constexpr std::chrono::milliseconds longest_wait{15000};
 
     /// @returns the cause of a failure, or an empty text
     std::string read()
@@ -136,7 +162,7 @@
 
     std::string await()
     {
-        auto change = this->store.await_config(*this->revision);
+        auto change = this->store.await_config(*this->revision, this->leading ? leading_wait : longest_wait);
         if (!change)
         {
             // Also when the history is gone: the object is read again.
@@ -157,6 +183,7 @@
     bool note(const std::string& failure)
     {
         const bool works = failure.empty();
+        this->failures = works ? 0 : this->failures + 1;
         if (works != this->reachable)
         {
             this->events.state_event(works ? "store_regained" : "store_lost", {{"cause", failure}});
@@ -168,7 +195,7 @@
     void pause()
     {
         std::unique_lock lock{this->mutex};
-        this->wake.wait_for(lock, retry_pause, [this] { return this->stopping.load(); });
+        this->wake.wait_for(lock, this->retry_pause(), [this] { return this->stopping.load(); });
     }
 
     Store& store;
@@ -180,6 +207,8 @@
     std::condition_variable wake;
     std::optional<std::uint64_t> revision;
     std::optional<core::time_point> listed;
+    std::atomic<bool> leading{true};
+    int failures = 0; ///< In a row.
     bool announced = false;
     bool reachable = true;
 };
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -319,6 +319,7 @@
         return;
     }
     this->connections_checked = now;
+    this->leading_changed(this->is_leading());
     for (http_listener* listener : {&this->outbound, &this->ready, &this->control, &this->metrics})
     {
         listener->connections.remove_if(
@@ -335,6 +336,20 @@
     }
 }
 
+/// Returns whether fewer than leading_daemons reachable daemons of the zone precede this one by name.
+bool sidecar_daemon::is_leading() const
+{
+    constexpr auto leading_daemons = 2; // One may be cut off from the store alone.
+    const auto preceding = std::count_if(this->links.begin(), this->links.end(),
+                                         [this](const auto& entry)
+                                         {
+                                             const peer_link& link = *entry.second;
+                                             return link.usable() && entry.first < this->settings.daemon_id &&
+                                                    link.target().zone == this->settings.zone;
+                                         });
+    return preceding < leading_daemons;
+}
+
 void sidecar_daemon::sync_links()
 {
     for (const auto& [id, record] : this->knowledge.members().members())
--- /dev/null
+++ b/packages/sidecar/tests/store_follower_test.cpp
@@ -0,0 +1,163 @@
+#include "laburnumreach/sidecar/store_follower.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace laburnumreach::sidecar
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A store that answers as the test says and notes what it was asked.
+class fake_store
+{
+public:
+    core::result<bool> announce(const member_record&)
+    {
+        ++this->announced;
+        return true;
+    }
+
+    core::result<std::vector<member_record>> list_members(bool may_be_old)
+    {
+        this->lists.push_back(may_be_old);
+        return std::vector<member_record>{};
+    }
+
+    core::result<stored_config> read_config()
+    {
+        if (this->away)
+        {
+            return core::make_error(core::error_code::unavailable, "away");
+        }
+        return stored_config{.version = 3, .document = "three", .revision = 10};
+    }
+
+    core::result<std::optional<stored_config>> await_config(std::uint64_t revision,
+                                                            std::chrono::milliseconds wait)
+    {
+        this->awaited = revision;
+        this->waited = wait;
+        if (this->history_gone)
+        {
+            return core::make_error(core::error_code::unavailable, "history is gone");
+        }
+        return std::exchange(this->change, std::nullopt);
+    }
+
+    void interrupt() {}
+
+    bool away = false;
+    bool history_gone = false;
+    std::optional<stored_config> change;
+    int announced = 0;
+    std::vector<bool> lists;
+    std::uint64_t awaited = 0;
+    std::chrono::milliseconds waited{};
+};
+
+} // namespace
+
+/// Guards against a store that is pressed while it is down, and against changes that are missed.
+class store_follower_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(store_follower_test);
+    CPPUNIT_TEST(reads_announces_lists_and_then_waits);
+    CPPUNIT_TEST(pauses_grow_while_the_store_is_away);
+    CPPUNIT_TEST(few_daemons_ask_often);
+    CPPUNIT_TEST(lost_history_is_read_again);
+    CPPUNIT_TEST(change_of_the_revision_alone_is_no_configuration);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void reads_announces_lists_and_then_waits()
+    {
+        this->start();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->configs.size());
+        CPPUNIT_ASSERT_EQUAL(1, this->store.announced);
+        // The first list must show all members; later ones only repair.
+        CPPUNIT_ASSERT(this->store.lists == std::vector<bool>{false});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, this->store.awaited);
+    }
+
+    /// An outage of 13 s cost each daemon 50 calls, which are paid for also when they are refused.
+    void pauses_grow_while_the_store_is_away()
+    {
+        this->store.away = true;
+        std::chrono::milliseconds passed{};
+        int calls = 0;
+        this->follower.set_leading(false);
+        for (; passed < 13s; ++calls)
+        {
+            CPPUNIT_ASSERT(!this->follower.step());
+            passed += this->follower.retry_pause();
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(calls), calls <= 7);
+        this->store.away = false;
+        CPPUNIT_ASSERT(this->follower.step());
+        CPPUNIT_ASSERT(this->follower.retry_pause() == 250ms);
+    }
+
+    void few_daemons_ask_often()
+    {
+        this->start();
+        CPPUNIT_ASSERT(this->store.waited <= 2s);
+        this->follower.set_leading(false);
+        this->follower.step();
+        CPPUNIT_ASSERT(this->store.waited >= 10s);
+        this->follower.set_leading(true);
+        this->store.away = true;
+        this->store.history_gone = true;
+        for (int failure = 0; failure < 10; ++failure)
+        {
+            this->follower.step();
+        }
+        CPPUNIT_ASSERT(this->follower.retry_pause() <= 1s);
+    }
+
+    void lost_history_is_read_again()
+    {
+        this->start();
+        this->store.history_gone = true;
+        CPPUNIT_ASSERT(!this->follower.step());
+        this->store.history_gone = false;
+        CPPUNIT_ASSERT(this->follower.step());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->configs.size());
+    }
+
+    void change_of_the_revision_alone_is_no_configuration()
+    {
+        this->start();
+        this->store.change = stored_config{.revision = 12};
+        this->follower.step();
+        this->follower.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->configs.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, this->store.awaited);
+    }
+
+private:
+    /// Brings the follower to its first wait.
+    void start()
+    {
+        for (int step = 0; step < 4; ++step)
+        {
+            CPPUNIT_ASSERT(this->follower.step());
+        }
+    }
+
+    fake_store store;
+    event_log events{"d"};
+    std::vector<stored_config> configs;
+    store_follower<fake_store> follower{
+        store,
+        {.daemon_id = "d"},
+        {.config = [this](stored_config found) { this->configs.push_back(std::move(found)); },
+         .members = [](const std::vector<member_record>&) {}},
+        events};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_follower_test);
+
+} // namespace laburnumreach::sidecar
