--- /dev/null
+++ b/packages/sidecar/include/laburnumreach/sidecar/http_listener.hpp
@@ -0,0 +1,72 @@
+#ifndef LABURNUMREACH_SIDECAR_HTTP_LISTENER_HPP
+#define LABURNUMREACH_SIDECAR_HTTP_LISTENER_HPP
+
+#include "laburnumreach/sidecar/server_connection.hpp"
+#include "laburnumreach/sidecar/tcp_listener.hpp"
+
+#include <list>
+#include <memory>
+
+namespace laburnumreach::sidecar
+{
+
+/// An HTTP server address with its open connections.
+class http_listener
+{
+public:
+    /// @param served what handles the requests, and the limits of callers
+    /// @throws boost::system::system_error when the address cannot be bound
+    http_listener(asio::io_context& io, const config::endpoint& address, server_context served)
+        : context(std::make_shared<server_context>(std::move(served))),
+          listener(io, address, [this](tcp::socket socket) { this->add(std::move(socket)); })
+    {
+    }
+
+    /// Closes connections that are idle or incomplete for too long. Call it several times a second.
+    void check_timeouts(core::time_point now)
+    {
+        this->connections.remove_if(
+            [now](const std::weak_ptr<server_connection>& weak)
+            {
+                const auto connection = weak.lock();
+                if (connection == nullptr || !connection->is_open())
+                {
+                    return true;
+                }
+                connection->check_timeouts(now);
+                return false;
+            });
+    }
+
+    /// Ends each connection with its next response, and those without an open request at once.
+    void close_when_answered()
+    {
+        this->context->closing = true;
+        for (const auto& weak : this->connections)
+        {
+            if (const auto connection = weak.lock())
+            {
+                connection->close_if_idle();
+            }
+        }
+    }
+
+    /// Returns the requests that are read and not answered yet.
+    std::size_t unanswered() const noexcept { return this->context->unanswered; }
+
+private:
+    void add(tcp::socket socket)
+    {
+        const auto connection = std::make_shared<server_connection>(std::move(socket), this->context);
+        this->connections.push_back(connection);
+        connection->start();
+    }
+
+    std::shared_ptr<server_context> context;
+    std::list<std::weak_ptr<server_connection>> connections;
+    tcp_listener listener;
+};
+
+} // namespace laburnumreach::sidecar
+
+#endif
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -6,11 +6,11 @@
 #include "laburnumreach/sidecar/entry_router.hpp"
 #include "laburnumreach/sidecar/exit_runner.hpp"
 #include "laburnumreach/sidecar/fleet_knowledge.hpp"
+#include "laburnumreach/sidecar/http_listener.hpp"
 #include "laburnumreach/sidecar/instance_probe.hpp"
 #include "laburnumreach/sidecar/peer_link.hpp"
 #include "laburnumreach/sidecar/peer_server.hpp"
 #include "laburnumreach/sidecar/platform_bindings.hpp"
-#include "laburnumreach/sidecar/server_connection.hpp"
 #include "laburnumreach/sidecar/store_follower.hpp"
 
 #include <list>
@@ -49,18 +49,7 @@
 private:
     using handler = std::function<void(const std::shared_ptr<exchange>&)>;
 
-    /// A listening socket with its connections.
-    struct http_listener
-    {
-        std::unique_ptr<tcp::acceptor> acceptor;
-        std::shared_ptr<server_context> context;
-        std::list<std::weak_ptr<server_connection>> connections;
-    };
-
-    std::unique_ptr<tcp::acceptor> listen(const std::string& address, std::uint16_t port);
-    void open_http(http_listener& listener, const config::endpoint& address, handler handle);
-    void accept_http(http_listener& listener);
-    void accept_peer();
+    void open_http(std::optional<http_listener>& listener, const config::endpoint& address, handler handle);
     void wait_for_signal();
     void schedule_tick();
     void tick();
@@ -96,11 +85,11 @@
     call_ratio_meter ratio_meter;
     std::unordered_map<std::string, std::shared_ptr<peer_link>> links;
     std::shared_ptr<const peer_link_hooks> link_hooks;
-    http_listener outbound;
-    http_listener ready;
-    http_listener control;
-    http_listener metrics;
-    std::unique_ptr<tcp::acceptor> peer_acceptor;
+    std::optional<http_listener> outbound;
+    std::optional<http_listener> ready;
+    std::optional<http_listener> control;
+    std::optional<http_listener> metrics;
+    std::optional<tcp_listener> peer_listener;
     bool members_listed = false; ///< The number of daemons is known from the store.
     std::optional<core::time_point> stop_requested;
     bool stop_announced = false;
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-constexpr int listen_backlog = 1024;
 /// Resolution of deadlines, queue expiry and probes.
 constexpr auto tick_interval = std::chrono::milliseconds{10};
 constexpr core::duration connection_check_interval = std::chrono::milliseconds{500};
@@ -112,17 +111,6 @@
     return hooks;
 }
 
-std::unique_ptr<tcp::acceptor> sidecar_daemon::listen(const std::string& address, std::uint16_t port)
-{
-    const tcp::endpoint endpoint = make_endpoint(address, port);
-    auto acceptor = std::make_unique<tcp::acceptor>(this->io);
-    acceptor->open(endpoint.protocol());
-    acceptor->set_option(tcp::acceptor::reuse_address{true});
-    acceptor->bind(endpoint);
-    acceptor->listen(listen_backlog);
-    return acceptor;
-}
-
 void sidecar_daemon::open()
 {
     this->open_http(this->outbound, this->settings.outbound,
@@ -134,8 +122,8 @@
     this->open_http(this->metrics,
                     {.address = this->settings.outbound.address, .port = this->settings.metrics_port},
                     [this](const std::shared_ptr<exchange>& request) { this->on_metrics(request); });
-    this->peer_acceptor = this->listen(this->settings.peers.address, this->settings.peers.port);
-    this->accept_peer();
+    this->peer_listener.emplace(this->io, this->settings.peers,
+                                [this](tcp::socket socket) { this->peers.accept(std::move(socket)); });
     this->signals.add(SIGTERM);
     this->signals.add(SIGINT);
     this->signals.add(SIGHUP);
@@ -153,54 +141,16 @@
     this->events.flush();
 }
 
-void sidecar_daemon::open_http(http_listener& listener, const config::endpoint& address, handler handle)
-{
-    listener.context = std::make_shared<server_context>();
-    listener.context->handle = std::move(handle);
-    listener.context->limits = [this]
-    {
-        const auto& routes = this->router.routes();
-        return routes == nullptr ? caller_limits{} : routes->limits();
-    };
-    listener.acceptor = this->listen(address.address, address.port);
-    this->accept_http(listener);
-}
-
-void sidecar_daemon::accept_http(http_listener& listener)
+void sidecar_daemon::open_http(std::optional<http_listener>& listener, const config::endpoint& address,
+                               handler handle)
 {
-    listener.acceptor->async_accept(
-        [this, &listener](const error_code& fault, tcp::socket socket)
-        {
-            if (fault == asio::error::operation_aborted)
-            {
-                return;
-            }
-            if (!fault)
-            {
-                const auto connection =
-                    std::make_shared<server_connection>(std::move(socket), listener.context);
-                listener.connections.push_back(connection);
-                connection->start();
-            }
-            this->accept_http(listener);
-        });
-}
-
-void sidecar_daemon::accept_peer()
-{
-    this->peer_acceptor->async_accept(
-        [this](const error_code& fault, tcp::socket socket)
-        {
-            if (fault == asio::error::operation_aborted)
-            {
-                return;
-            }
-            if (!fault)
-            {
-                this->peers.accept(std::move(socket));
-            }
-            this->accept_peer();
-        });
+    listener.emplace(this->io, address,
+                     server_context{.handle = std::move(handle),
+                                    .limits = [this]
+                                    {
+                                        const auto& routes = this->router.routes();
+                                        return routes == nullptr ? caller_limits{} : routes->limits();
+                                    }});
 }
 
 void sidecar_daemon::wait_for_signal()
@@ -320,19 +270,10 @@
     }
     this->connections_checked = now;
     this->leading_changed(this->is_leading());
-    for (http_listener* listener : {&this->outbound, &this->ready, &this->control, &this->metrics})
+    for (std::optional<http_listener>* listener :
+         {&this->outbound, &this->ready, &this->control, &this->metrics})
     {
-        listener->connections.remove_if(
-            [now](const std::weak_ptr<server_connection>& weak)
-            {
-                const auto connection = weak.lock();
-                if (connection == nullptr || !connection->is_open())
-                {
-                    return true;
-                }
-                connection->check_timeouts(now);
-                return false;
-            });
+        (*listener)->check_timeouts(now);
     }
 }
 
@@ -494,19 +435,12 @@
     }
     if (elapsed > serve_after_stop)
     {
-        this->outbound.context->closing = true;
+        this->outbound->close_when_answered();
         this->router.refuse_new();
         this->runner.refuse_new();
-        for (const auto& weak : this->outbound.connections)
-        {
-            if (const auto connection = weak.lock())
-            {
-                connection->close_if_idle();
-            }
-        }
     }
-    const bool idle = this->router.open_calls() == 0 && this->runner.open_calls() == 0 &&
-                      this->outbound.context->unanswered == 0;
+    const bool idle =
+        this->router.open_calls() == 0 && this->runner.open_calls() == 0 && this->outbound->unanswered() == 0;
     if ((elapsed > serve_after_stop && idle) || elapsed > this->settings.stop_grace - stop_margin)
     {
         this->io.stop();
