--- a/packages/sidecar/src/load_shedder.cpp
+++ b/packages/sidecar/src/load_shedder.cpp
@@ -226,7 +226,7 @@
     }
     else
     {
-        constexpr double return_rate = 0.3; // Per second.
+        constexpr double return_rate = 0.03; // Per second.
         change = return_rate * (1.0 - state.correction);
     }
     state.correction = std::clamp(state.correction + change * elapsed, this->options.least_correction,
