Give slow instances few calls; tell call ratios when they move

Cause: an instance that ran twelve times as long as the others got a third of the calls, and all of them passed their deadline. The mean run time left out the runs that were given up. Replies to probes carried all ratios each time; now those that moved.

--- a/packages/sidecar/include/laburnumreach/sidecar/exit_runner.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/exit_runner.hpp
@@ -105,6 +105,8 @@
     std::string request_text(const open_call& call, core::time_point now) const;
     reply_message interpret(const open_call& call, instance_result& result) const;
     core::duration expected_run() const;
+    void record_run(core::duration took, core::time_point now);
+    void forget_slow_runs(core::time_point now);
 
     asio::io_context& io;
     options settings;
@@ -118,6 +120,7 @@
     ticket next_ticket = 1;
     std::uint32_t running = 0;
     double mean_run_ms = 0;
+    core::time_point run_measured{}; ///< When mean_run_ms changed last.
     core::time_point leaving_since{};
     core::time_point down_until{};
     core::duration last_wait{};
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_choice.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_choice.hpp
@@ -37,8 +37,9 @@
 /// Chooses the instance for a call. Deterministic.
 ///
 /// Load pattern: traffic is spread over the zones otherwise than capacity is, and one or two instances are
-/// slower than the others. The own zone serves what it can without waiting; the rest goes where the least
-/// waiting is.
+/// slower than the others, or so slow that no call ends there in time. The own zone serves what it can
+/// without waiting; the rest goes where the least waiting is. A slow instance gets calls when the others have
+/// a queue as long as its runs.
 /// @returns the index of the chosen candidate; no value without candidates
 std::optional<std::size_t> choose_instance(std::span<const choice_candidate> candidates,
                                            const choice_options& options);
--- a/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
@@ -105,8 +105,10 @@
     struct service_state
     {
         double slots = 0;
-        double calls = 0;        ///< That run or wait.
-        double capacity = 0;     ///< Calls per second with all slots in use.
+        double calls = 0;    ///< That run or wait.
+        double capacity = 0; ///< Calls per second with all slots in use.
+        double weighted_load =
+            0;                   ///< Load as a part of the target, times the capacity, summed over instances.
         double correction = 1.0; ///< Factor on the capacity, from the load seen.
         double level = 0;
         bool available = false;
@@ -123,6 +125,7 @@
     double highest_level(const std::string& service) const;
     void sum_instances();
     std::unordered_map<std::string, demand_by_rank> sum_demand(core::time_point now) const;
+    static double excess_of(const service_state& state);
     void correct(service_state& state, double elapsed) const;
     double admitted_rate(const service_state& state) const;
     double level_for(const std::string& service, const demand_by_rank& demand, double rate) const;
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
@@ -1,7 +1,7 @@
 #ifndef LABURNUMREACH_SIDECAR_PEER_LINK_HPP
 #define LABURNUMREACH_SIDECAR_PEER_LINK_HPP
 
-#include "laburnumreach/sidecar/demand_report.hpp"
+#include "laburnumreach/sidecar/change_report.hpp"
 #include "laburnumreach/sidecar/event_log.hpp"
 #include "laburnumreach/sidecar/fleet_knowledge.hpp"
 #include "laburnumreach/sidecar/frame_stream.hpp"
@@ -101,7 +101,9 @@
     std::shared_ptr<frame_stream> stream;
     std::unordered_map<std::uint64_t, bool> open_calls; ///< Call ids; whether it was reported stalled.
     std::uint64_t incarnation = 0;                      ///< Of the peer process that holds the open calls.
-    demand_report demand_told;
+    /// Requests per second of a customer below which its demand counts as none.
+    static constexpr double least_demand = 0.3;
+    change_report<customer_demand> demand_told{least_demand};
     core::time_point phase_since{};
     core::time_point down_since{};
     core::time_point probed{};
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
@@ -1,6 +1,7 @@
 #ifndef LABURNUMREACH_SIDECAR_PEER_SERVER_HPP
 #define LABURNUMREACH_SIDECAR_PEER_SERVER_HPP
 
+#include "laburnumreach/sidecar/change_report.hpp"
 #include "laburnumreach/sidecar/exit_runner.hpp"
 #include "laburnumreach/sidecar/fleet_knowledge.hpp"
 
@@ -40,6 +41,9 @@
     std::size_t open_calls() const;
 
 private:
+    /// Calls per run below which a ratio counts as none.
+    static constexpr double least_ratio = 0.02;
+
     /// A call that is not answered yet.
     struct open_call
     {
@@ -56,6 +60,7 @@
         std::unordered_map<std::uint64_t, reply_message> replies; ///< Kept for a lost connection.
         std::set<std::pair<core::time_point, std::uint64_t>> reply_expiry;
         core::time_point detached{};
+        change_report<call_ratio> ratios_told{least_ratio};
     };
 
     void on_frame(const std::shared_ptr<frame_stream>& stream, std::string& daemon_id, frame_type type,
--- a/packages/sidecar/src/exit_runner.cpp
+++ b/packages/sidecar/src/exit_runner.cpp
@@ -30,6 +30,28 @@
         std::chrono::duration<double, std::milli>{this->mean_run_ms});
 }
 
+/// @param took time of a run, or of its part until it was given up
+void exit_runner::record_run(core::duration took, core::time_point now)
+{
+    constexpr double weight = 0.05; // Smooths over about twenty runs.
+    const double run_ms = std::chrono::duration<double, std::milli>(took).count();
+    this->mean_run_ms += weight * (run_ms - this->mean_run_ms);
+    this->run_measured = now;
+}
+
+/// Lets the mean run time sink while no run ends, so that an instance that was slow gets calls again.
+void exit_runner::forget_slow_runs(core::time_point now)
+{
+    constexpr core::duration memory = std::chrono::seconds{1};
+    constexpr double sink = 0.9;
+    constexpr core::duration sink_interval = std::chrono::milliseconds{100};
+    if (this->running == 0 && now - this->run_measured > memory)
+    {
+        this->mean_run_ms *= sink;
+        this->run_measured = now - memory + sink_interval;
+    }
+}
+
 exit_runner::ticket exit_runner::submit(call_message call, reply_handler handler)
 {
     const core::time_point now = core::boot_clock::now();
@@ -147,11 +169,14 @@
     }
     for (const ticket id : overdue)
     {
-        this->calls.at(id).connection->close();
+        const open_call& call = this->calls.at(id);
+        this->record_run(now - call.started, now);
+        call.connection->close();
         --this->running;
         this->finish(id, {.kind = static_cast<std::uint8_t>(reply_kind::failed),
                           .reason = std::string{call_reason::deadline}});
     }
+    this->forget_slow_runs(now);
     std::erase_if(this->idle,
                   [now](const std::shared_ptr<instance_connection>& connection)
                   {
@@ -274,9 +299,7 @@
     if (result.outcome == instance_outcome::complete)
     {
         this->counters.run_latency.add(to_ms(ran_for));
-        constexpr double weight = 0.05; // Smooths over about twenty runs.
-        const double run_ms = std::chrono::duration<double, std::milli>(ran_for).count();
-        this->mean_run_ms += weight * (run_ms - this->mean_run_ms);
+        this->record_run(ran_for, now);
         // The connection may hold the rest of a body that the instance has not read yet.
         if (this->idle.size() < max_idle_connections)
         {
--- a/packages/sidecar/src/load_shedder.cpp
+++ b/packages/sidecar/src/load_shedder.cpp
@@ -178,10 +178,14 @@
     for (const auto& [daemon, status] : this->instances)
     {
         service_state& state = this->services[status.service];
+        const double capacity = status.slots * 1000.0 / std::max(status.run_ms, 1U);
+        const double target = status.slots + capacity * seconds(this->options.target_wait);
         state.available = true;
         state.slots += status.slots;
         state.calls += status.running + status.queued;
-        state.capacity += status.slots * 1000.0 / std::max(status.run_ms, 1U);
+        state.capacity += capacity;
+        // By capacity, since the slots of a slow instance stay free without being of use.
+        state.weighted_load += capacity * (status.running + status.queued) / std::max(target, 1.0);
     }
 }
 
@@ -208,12 +212,17 @@
     return asked;
 }
 
+/// Returns the load above the target, as a part of the target.
+double load_shedder::excess_of(const service_state& state)
+{
+    return state.capacity > 0 ? state.weighted_load / state.capacity - 1.0 : 0.0;
+}
+
 /// Adapts the estimate of the capacity to the load seen. While nothing is shed, low load says nothing about
 /// the capacity, and the estimate returns to the computed one.
 void load_shedder::correct(service_state& state, double elapsed) const
 {
-    const double target = state.slots + state.capacity * seconds(this->options.target_wait);
-    const double excess = (state.calls - target) / std::max(state.slots, 1.0);
+    const double excess = excess_of(state);
     constexpr double largest_excess = 1.0; // A longer queue says no more about the capacity.
     double change = 0;
     if (excess > 0)
@@ -236,9 +245,9 @@
 /// Returns the calls per second that a service can take, less those that wait too long already.
 double load_shedder::admitted_rate(const service_state& state) const
 {
-    const double target = state.slots + state.capacity * seconds(this->options.target_wait);
     const double estimate = state.capacity * state.correction;
-    const double worked_off = (state.calls - target) / seconds(this->options.drain_time);
+    const double target = state.slots + state.capacity * seconds(this->options.target_wait);
+    const double worked_off = excess_of(state) * target / seconds(this->options.drain_time);
     return std::max(estimate - worked_off, estimate * this->options.least_admitted);
 }
 
--- a/packages/sidecar/src/peer_server.cpp
+++ b/packages/sidecar/src/peer_server.cpp
@@ -85,12 +85,13 @@
         if (const auto message = protocol::decode_message<probe_message>(body))
         {
             this->owner.demand(daemon_id, *message);
-            stream->send(frame_type::probe_reply,
-                         probe_reply_message{.sequence = message->sequence,
-                                             .config_version = this->knowledge.config_version(),
-                                             .member_digest = this->knowledge.digest(),
-                                             .status = this->runner.status(),
-                                             .ratios = this->owner.ratios()});
+            stream->send(
+                frame_type::probe_reply,
+                probe_reply_message{.sequence = message->sequence,
+                                    .config_version = this->knowledge.config_version(),
+                                    .member_digest = this->knowledge.digest(),
+                                    .status = this->runner.status(),
+                                    .ratios = found->second.ratios_told.changes(this->owner.ratios())});
             this->knowledge.repair(*stream, message->config_version, message->member_digest);
         }
     }
@@ -118,6 +119,7 @@
         known.stream->close();
     }
     known.stream = stream;
+    known.ratios_told.reset();
     stream->send(frame_type::welcome,
                  welcome_message{.sender = this->knowledge.own(), .status = this->runner.status()});
     if (hello.receiver_started_ms == this->knowledge.own().started_ms)
--- a/packages/sidecar/tests/customer_limiter_test.cpp
+++ b/packages/sidecar/tests/customer_limiter_test.cpp
@@ -1,5 +1,5 @@
+#include "laburnumreach/sidecar/change_report.hpp"
 #include "laburnumreach/sidecar/customer_limiter.hpp"
-#include "laburnumreach/sidecar/demand_report.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -203,7 +203,7 @@
     /// Guards against probes that carry all customers each time.
     void steady_demand_is_told_once()
     {
-        demand_report report;
+        change_report<customer_demand> report{0.3};
         const std::vector<customer_demand> steady{{"c", 5.0}, {"idle", 0.0}};
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report.changes(steady).size());
         CPPUNIT_ASSERT(report.changes(steady).empty());
--- a/packages/sidecar/tests/policy_test.cpp
+++ b/packages/sidecar/tests/policy_test.cpp
@@ -97,6 +97,8 @@
     CPPUNIT_TEST(large_bodies_stay_longer);
     CPPUNIT_TEST(no_candidate);
     CPPUNIT_TEST(uneven_zones_share_a_burst);
+    CPPUNIT_TEST(very_slow_instance_gets_little);
+    CPPUNIT_TEST(other_mix_of_routes_is_no_slowness);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,6 +125,37 @@
 
     void no_candidate() { CPPUNIT_ASSERT(!choose_instance({}, {})); }
 
+    /// One of three instances runs twelve times as long as the others, longer than the calls have time. With
+    /// equal load per slot it got a third of the calls, and all of them failed.
+    void very_slow_instance_gets_little()
+    {
+        std::array<double, 3> loads{};
+        std::array<int, 3> chosen{};
+        constexpr std::array<double, 3> run_ms{60, 720, 60};
+        for (int turn = 0; turn < 1000; ++turn) // One for each millisecond.
+        {
+            std::vector<choice_candidate> candidates;
+            for (std::size_t index = 0; index < 3; ++index)
+            {
+                loads[index] = std::max(0.0, loads[index] - std::min(loads[index], 40.0) / run_ms[index]);
+                candidates.push_back(
+                    {.same_zone = index == 1, .slots = 40, .load = loads[index], .run_ms = run_ms[index]});
+            }
+            const std::size_t best = *choose_instance(candidates, {});
+            loads[best] += 1;
+            ++chosen[best];
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(chosen[1]), chosen[1] < 50);
+    }
+
+    void other_mix_of_routes_is_no_slowness()
+    {
+        const std::vector<choice_candidate> candidates{
+            {.same_zone = true, .slots = 30, .load = 10, .run_ms = 200},
+            {.same_zone = false, .slots = 30, .load = 10, .run_ms = 100}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, *choose_instance(candidates, {}));
+    }
+
     /// The pattern of a peak: one zone has more traffic than its only instance can serve, two have less.
     void uneven_zones_share_a_burst()
     {
