--- a/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
@@ -60,9 +60,6 @@
         this->daemons = count;
     }
 
-    /// Removes the demand of a daemon that has left.
-    void forget(const std::string& daemon_id) { this->reported.erase(daemon_id); }
-
     /// Charges one request.
     /// @param leniency 0 for the least urgent requests, 1 for the most urgent ones
     /// @returns false when the customer's share is used up
@@ -93,7 +90,7 @@
     /// Returns the demand at this daemon, measured over the last second.
     std::vector<customer_demand> demand() const;
 
-    /// Recomputes the shares. Call it every few hundred milliseconds.
+    /// Measures the demand when it is due. Call it often.
     void update(core::time_point now);
 
 private:
@@ -103,6 +100,7 @@
     static constexpr double least_surplus = 0.02;
     /// Time between two measurements of the demand.
     static constexpr core::duration measure_interval = std::chrono::milliseconds{200};
+
     struct account
     {
         double rate = 0;  ///< Of the whole fleet.
--- a/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
@@ -107,8 +107,8 @@
         double slots = 0;
         double calls = 0;    ///< That run or wait.
         double capacity = 0; ///< Calls per second with all slots in use.
-        double weighted_load =
-            0;                   ///< Load as a part of the target, times the capacity, summed over instances.
+        /// Load as a part of the target, times the capacity, summed over the instances.
+        double weighted_load = 0;
         double correction = 1.0; ///< Factor on the capacity, from the load seen.
         double level = 0;
         bool available = false;
--- a/packages/sidecar/src/instance_choice.cpp
+++ b/packages/sidecar/src/instance_choice.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-/// Run time from which an instance counts as slow, as a multiple of the usual one. The means of instances that
-/// get other routes differ by less.
+/// Run time from which an instance counts as slow, as a multiple of the usual one. The means of instances
+/// that get other routes differ by less.
 constexpr double slow_factor = 2.5;
 
 double load_per_slot(const choice_candidate& candidate)
@@ -39,8 +39,8 @@
     return *middle;
 }
 
-/// Returns the load per slot, for a slow instance multiplied by its slowness: a call that starts there at once
-/// ends no sooner than one that waits for as many runs elsewhere.
+/// Returns the load per slot, for a slow instance multiplied by its slowness: a call that starts there at
+/// once ends no sooner than one that waits for as many runs elsewhere.
 double cost_of(const choice_candidate& candidate, double usual)
 {
     const double load = load_per_slot(candidate);
--- a/packages/sidecar/src/load_shedder.cpp
+++ b/packages/sidecar/src/load_shedder.cpp
@@ -192,23 +192,28 @@
 std::unordered_map<std::string, load_shedder::demand_by_rank>
 load_shedder::sum_demand(core::time_point now) const
 {
-    std::unordered_map<std::string, demand_by_rank> asked;
+    // Summed over the daemons first: there are many of them, and the chains are followed for each sum.
+    std::map<std::pair<std::string, urgency>, double> by_route;
     for (const auto& [daemon, record] : this->demands)
     {
-        if (now - record.received > report_lifetime)
+        if (now - record.received <= report_lifetime)
         {
-            continue;
-        }
-        for (const route_demand& entry : record.demand)
-        {
-            visits total;
-            this->add_visits(entry.route, entry.rate, 0, total);
-            for (const auto& [service, rate] : total)
+            for (const route_demand& entry : record.demand)
             {
-                asked[service][entry.rank] += rate;
+                by_route[{entry.route, entry.rank}] += entry.rate;
             }
         }
     }
+    std::unordered_map<std::string, demand_by_rank> asked;
+    for (const auto& [route_and_rank, rate] : by_route)
+    {
+        visits total;
+        this->add_visits(route_and_rank.first, rate, 0, total);
+        for (const auto& [service, calls] : total)
+        {
+            asked[service][route_and_rank.second] += calls;
+        }
+    }
     return asked;
 }
 
