Bound the correction of the capacity

The capacity is taken for at most a tenth more than the run times tell; a higher value let the next burst in for a second.

--- a/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
@@ -33,7 +33,7 @@
     double gain_up = 0.3;
     /// Bounds of the correction of the estimated capacity.
     double least_correction = 0.3;
-    double largest_correction = 1.5;
+    double largest_correction = 1.1;
     core::duration step = std::chrono::milliseconds{100};
     /// Calls per request of a route from which on the called service counts for its admission.
     double least_calls = 0.05;
