--- a/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
@@ -101,6 +101,10 @@
     /// Time between two measurements of the demand.
     static constexpr core::duration measure_interval = std::chrono::milliseconds{200};
 
+    /// Age from which a daemon's demand no longer counts; reports come twice a second.
+    static constexpr core::duration report_lifetime = std::chrono::milliseconds{1200};
+
+    /// State of one customer.
     struct account
     {
         double rate = 0;  ///< Of the whole fleet.
@@ -112,10 +116,6 @@
         double reserve = 0;  ///< Part of the tokens that the least urgent requests leave.
     };
 
-    void refill(account& limited, core::time_point now) const;
-
-    customer_limiter_options options;
-    std::unordered_map<std::string, account> accounts;
     /// What another daemon reported last.
     struct report
     {
@@ -123,15 +123,15 @@
         core::time_point received{};
     };
 
-    /// Age from which a daemon's report counts as its last one; reports come twice a second.
-    static constexpr core::duration report_lifetime = std::chrono::milliseconds{1200};
-
+    void refill(account& limited, core::time_point now) const;
     double share() const { return 1.0 / static_cast<double>(this->daemons); }
     double total_demand(const std::string& name, const account& limited, core::time_point now) const;
     double reserve_of(const account& limited, double demand) const;
     double kept_tokens(const account& limited) const;
 
-    std::map<std::string, report> reported;
+    customer_limiter_options options;
+    std::unordered_map<std::string, account> accounts;
+    std::map<std::string, report> reported; ///< By daemon.
     std::size_t daemons;
     core::time_point measured{};
 };
--- a/packages/sidecar/include/laburnumreach/sidecar/entry_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/entry_router.hpp
@@ -61,8 +61,8 @@
     void on_stalled(std::uint64_t call_id);
     void on_status(const std::string& daemon_id, const instance_status& status);
 
-    /// Records the demand that another daemon reports with a probe.
-    void record_demand(const std::string& daemon_id, const probe_message& probe);
+    /// Records the demand and the tokens that another daemon sends with a probe.
+    void record_probe(const std::string& daemon_id, const probe_message& probe);
 
     /// Returns the rates at which callers ask this daemon for routes.
     std::vector<route_demand> route_rates() const { return this->asked.rates(); }
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
@@ -22,7 +22,8 @@
     struct hooks
     {
         std::function<std::vector<call_ratio>()> ratios;
-        std::function<void(const std::string& daemon_id, const probe_message&)> demand;
+        /// Takes what another daemon reports with a probe.
+        std::function<void(const std::string& daemon_id, const probe_message&)> probed;
         std::function<token_grant_message(const token_request_message&)> token_request;
     };
 
--- a/packages/sidecar/src/entry_router.cpp
+++ b/packages/sidecar/src/entry_router.cpp
@@ -69,7 +69,7 @@
     this->links[link->target().daemon_id] = link;
 }
 
-void entry_router::record_demand(const std::string& daemon_id, const probe_message& probe)
+void entry_router::record_probe(const std::string& daemon_id, const probe_message& probe)
 {
     const core::time_point now = core::boot_clock::now();
     this->customers.record_report(daemon_id, probe.demand, probe.tokens, now);
--- a/packages/sidecar/src/peer_server.cpp
+++ b/packages/sidecar/src/peer_server.cpp
@@ -84,7 +84,7 @@
     {
         if (const auto message = protocol::decode_message<probe_message>(body))
         {
-            this->owner.demand(daemon_id, *message);
+            this->owner.probed(daemon_id, *message);
             stream->send(
                 frame_type::probe_reply,
                 probe_reply_message{.sequence = message->sequence,
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -77,8 +77,8 @@
           this->instance, log, this->counters),
       peers(this->runner, this->knowledge, log,
             {.ratios = [this] { return this->ratio_meter.ratios(); },
-             .demand = [this](const std::string& daemon_id, const probe_message& probe)
-             { this->router.record_demand(daemon_id, probe); },
+             .probed = [this](const std::string& daemon_id, const probe_message& probe)
+             { this->router.record_probe(daemon_id, probe); },
              .token_request = [this](const token_request_message& request)
              { return this->router.admission().on_request(request); }}),
       router({.daemon_id = this->settings.daemon_id,
--- a/packages/sidecar/tests/peer_server_test.cpp
+++ b/packages/sidecar/tests/peer_server_test.cpp
@@ -301,7 +301,7 @@
                        this->knowledge,
                        this->log,
                        {.ratios = [] { return std::vector<call_ratio>{}; },
-                        .demand = [](const std::string&, const probe_message&) {},
+                        .probed = [](const std::string&, const probe_message&) {},
                         .token_request = [](const token_request_message& request)
                         { return token_grant_message{.id = request.id}; }}};
     tcp::acceptor acceptor{this->io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
