--- a/packages/sidecar/include/laburnumreach/sidecar/store_follower.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/store_follower.hpp
@@ -70,6 +70,7 @@
     /// Runs until stop().
     void run()
     {
+        this->running = true;
         while (!this->stopping)
         {
             if (!this->step())
@@ -77,17 +78,27 @@
                 this->pause();
             }
         }
+        {
+            const std::lock_guard lock{this->mutex};
+            this->running = false;
+        }
+        this->wake.notify_all();
     }
 
-    /// Ends run() from another thread.
+    /// Ends run() from another thread and waits until it has ended.
     void stop()
     {
+        // A call that begins just after an interruption is not broken off by it, so interruptions are
+        // repeated.
+        constexpr std::chrono::milliseconds interrupt_interval{20};
+        std::unique_lock lock{this->mutex};
+        this->stopping = true;
+        this->wake.notify_all();
+        while (this->running)
         {
-            const std::lock_guard lock{this->mutex};
-            this->stopping = true;
+            this->store.interrupt();
+            this->wake.wait_for(lock, interrupt_interval);
         }
-        this->wake.notify_all();
-        this->store.interrupt();
     }
 
     /// Sets whether this daemon is among the few of its zone that call the store often. Any thread may call
@@ -203,6 +214,7 @@
     store_follower_hooks hooks;
     event_log& events;
     std::atomic<bool> stopping{false};
+    std::atomic<bool> running{false};
     std::mutex mutex;
     std::condition_variable wake;
     std::optional<std::uint64_t> revision;
--- a/packages/sidecar/tests/store_follower_test.cpp
+++ b/packages/sidecar/tests/store_follower_test.cpp
@@ -1,6 +1,7 @@
 #include "laburnumreach/sidecar/store_follower.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <thread>
 
 namespace laburnumreach::sidecar
 {
@@ -40,6 +41,13 @@
     {
         this->awaited = revision;
         this->waited = wait;
+        if (this->blocks)
+        {
+            std::unique_lock lock{this->mutex};
+            this->waiting = true;
+            this->wake.notify_all();
+            this->wake.wait_for(lock, wait, [this] { return this->interruptions > 1; });
+        }
         if (this->history_gone)
         {
             return core::make_error(core::error_code::unavailable, "history is gone");
@@ -47,9 +55,26 @@
         return std::exchange(this->change, std::nullopt);
     }
 
-    void interrupt() {}
+    /// The first interruption comes before the call has begun, and is without effect.
+    void interrupt()
+    {
+        const std::lock_guard lock{this->mutex};
+        ++this->interruptions;
+        this->wake.notify_all();
+    }
+
+    void wait_until_blocked()
+    {
+        std::unique_lock lock{this->mutex};
+        this->wake.wait(lock, [this] { return this->waiting; });
+    }
 
     bool away = false;
+    bool blocks = false; ///< Whether a wait lasts until it is interrupted.
+    std::mutex mutex;
+    std::condition_variable wake;
+    bool waiting = false;
+    int interruptions = 0;
     bool history_gone = false;
     std::optional<stored_config> change;
     int announced = 0;
@@ -69,6 +94,7 @@
     CPPUNIT_TEST(few_daemons_ask_often);
     CPPUNIT_TEST(lost_history_is_read_again);
     CPPUNIT_TEST(change_of_the_revision_alone_is_no_configuration);
+    CPPUNIT_TEST(stop_ends_a_call_that_missed_the_interruption);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,6 +163,19 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, this->store.awaited);
     }
 
+    /// A process that waits for the store after its stop signal is killed at the end of the grace time.
+    void stop_ends_a_call_that_missed_the_interruption()
+    {
+        this->store.blocks = true;
+        this->follower.set_leading(false);
+        std::thread control{[this] { this->follower.run(); }};
+        this->store.wait_until_blocked();
+        const auto asked = std::chrono::steady_clock::now();
+        this->follower.stop();
+        control.join();
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - asked < 1s);
+    }
+
 private:
     /// Brings the follower to its first wait.
     void start()
