--- a/packages/bench/capacity/src/gossip_part.cpp
+++ b/packages/bench/capacity/src/gossip_part.cpp
@@ -15,15 +15,10 @@
 
 using membership::member_state;
 
-double in_seconds(core::duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 /// Returns the costs of one member per second.
 nlohmann::json per_member(const gossip_traffic& traffic, std::size_t members)
 {
-    const double seconds = in_seconds(traffic.time);
+    const double seconds = core::to_seconds(traffic.time);
     const double count = static_cast<double>(members) * seconds;
     return {{"seconds", seconds},
             {"messages_per_s", static_cast<double>(traffic.messages) / count},
@@ -46,7 +41,7 @@
                              double seconds, Event event)
 {
     fleet.take_traffic();
-    const double took = in_seconds(event());
+    const double took = core::to_seconds(event());
     const double left = seconds - std::max(took, 0.0);
     if (left > 0.0)
     {
@@ -57,10 +52,10 @@
     const double count = static_cast<double>(fleet.size());
     result["took_s"] = took;
     result["extra_bytes_per_member"] =
-        static_cast<double>(traffic.bytes) / count - idle_bytes_per_s * in_seconds(traffic.time);
+        static_cast<double>(traffic.bytes) / count - idle_bytes_per_s * core::to_seconds(traffic.time);
     result["extra_messages_per_member"] =
         (result["messages_per_s"].get<double>() - idle["messages_per_s"].get<double>()) *
-        in_seconds(traffic.time);
+        core::to_seconds(traffic.time);
     return result;
 }
 
--- a/packages/core/include/laburnumreach/core/time.hpp
+++ b/packages/core/include/laburnumreach/core/time.hpp
@@ -10,6 +10,12 @@
 /// Elapsed time in nanoseconds.
 using duration = std::chrono::nanoseconds;
 
+/// Returns a time in seconds, with fractions.
+inline double to_seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
 /// Monotonic clock that also advances while the VM is suspended, so that a lease lapses during a pause.
 struct boot_clock
 {
--- a/packages/daemon/app/laburnumreachd.cpp
+++ b/packages/daemon/app/laburnumreachd.cpp
@@ -1,33 +1,25 @@
 #include "laburnumreach/config/daemon_settings_text.hpp"
+#include "laburnumreach/core/read_file.hpp"
 #include "laburnumreach/daemon/daemon.hpp"
 #include "laburnumreach/daemon/log.hpp"
 
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <pthread.h>
-#include <sstream>
 
 namespace
 {
 
 namespace config = laburnumreach::config;
+namespace core = laburnumreach::core;
 namespace daemon = laburnumreach::daemon;
 
 constexpr int exit_bad_settings = 2;
 constexpr int exit_cannot_start = 1;
 constexpr int exit_cut_requests = 3;
 
-std::optional<std::string> read_file(const std::string& path)
-{
-    const std::ifstream file{path};
-    std::ostringstream text;
-    text << file.rdbuf();
-    return file ? std::optional{text.str()} : std::nullopt;
-}
-
 /// Blocks the signals in all threads started later, so that only wait_for_stop takes them.
 sigset_t block_stop_signals()
 {
@@ -42,7 +34,7 @@
 
 int run(const std::string& settings_path, bool check_only)
 {
-    const std::optional<std::string> text = read_file(settings_path);
+    const std::optional<std::string> text = core::read_file(settings_path);
     if (!text)
     {
         std::cerr << settings_path << ": cannot be read\n";
--- a/packages/daemon/src/control_loop_updates.cpp
+++ b/packages/daemon/src/control_loop_updates.cpp
@@ -335,7 +335,6 @@
     this->next_status_at = now + status_interval;
     this->state.pool.close_expired(now);
     const protocol::control_transport_counters& traffic = this->transport->counters();
-    const auto seconds = [](core::duration age) { return std::chrono::duration<double>(age).count(); };
     nlohmann::json members_json = nlohmann::json::array();
     for (const auto& [id, entry] : this->members.table().entries())
     {
@@ -349,19 +348,20 @@
                                 {"callers", member.caller_address},
                                 {"lender_epoch", member.lender_epoch}});
     }
-    const nlohmann::json status{{"id", this->self.id},
-                                {"zone", this->state.settings.zone},
-                                {"region", this->state.settings.region},
-                                {"incarnation", this->self.incarnation},
-                                {"configuration_revision", this->known_revision},
-                                {"lender_epoch", this->zone.lender_epoch(now)},
-                                {"draining", this->state.draining.load()},
-                                {"platform_contact_age_s", seconds(this->members.platform_contact_age(now))},
-                                {"control_bytes_sent", traffic.bytes_sent},
-                                {"control_bytes_received", traffic.bytes_received},
-                                {"control_messages_sent", traffic.messages_sent},
-                                {"control_messages_dropped", traffic.messages_dropped},
-                                {"members", members_json}};
+    const nlohmann::json status{
+        {"id", this->self.id},
+        {"zone", this->state.settings.zone},
+        {"region", this->state.settings.region},
+        {"incarnation", this->self.incarnation},
+        {"configuration_revision", this->known_revision},
+        {"lender_epoch", this->zone.lender_epoch(now)},
+        {"draining", this->state.draining.load()},
+        {"platform_contact_age_s", core::to_seconds(this->members.platform_contact_age(now))},
+        {"control_bytes_sent", traffic.bytes_sent},
+        {"control_bytes_received", traffic.bytes_received},
+        {"control_messages_sent", traffic.messages_sent},
+        {"control_messages_dropped", traffic.messages_dropped},
+        {"members", members_json}};
     this->status_text.store(std::make_shared<const std::string>(status.dump()));
 }
 
--- a/packages/http/include/laburnumreach/http/headers.hpp
+++ b/packages/http/include/laburnumreach/http/headers.hpp
@@ -20,6 +20,9 @@
 /// Returns whether two names or tokens are equal without case (ASCII).
 bool equal_ignoring_case(std::string_view left, std::string_view right) noexcept;
 
+/// Returns a name with its letters (ASCII) in lower case.
+std::string lower_case(std::string_view text);
+
 /// Returns whether a field can be written without changing the framing of the message.
 bool is_valid_field(std::string_view name, std::string_view value) noexcept;
 
--- a/packages/http/src/headers.cpp
+++ b/packages/http/src/headers.cpp
@@ -48,6 +48,13 @@
                       [](char one, char other) { return lower(one) == lower(other); });
 }
 
+std::string lower_case(std::string_view text)
+{
+    std::string lowered{text};
+    std::transform(lowered.begin(), lowered.end(), lowered.begin(), lower);
+    return lowered;
+}
+
 bool has_token(const headers& fields, const std::string& name, std::string_view token)
 {
     bool found = false;
--- a/packages/overload/src/admission_control.cpp
+++ b/packages/overload/src/admission_control.cpp
@@ -37,11 +37,6 @@
 /// queueing time outweighs the margin.
 constexpr double important_margin = 0.25;
 
-double seconds_of(core::duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 } // namespace
 
 void admission_control::record_arrival(admission_position position, double offered_ratio)
@@ -59,8 +54,8 @@
         return core::duration::zero();
     }
     // Before the first window there is no rate; one window is the best known bound.
-    const double seconds =
-        this->capacity > 0.0 ? std::min(length / this->capacity, 60.0) : seconds_of(this->options.window);
+    const double seconds = this->capacity > 0.0 ? std::min(length / this->capacity, 60.0)
+                                                : core::to_seconds(this->options.window);
     return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(seconds));
 }
 
@@ -71,7 +66,7 @@
         this->window_begin = now;
         this->last_update = now;
     }
-    const double elapsed = seconds_of(now - this->last_update);
+    const double elapsed = core::to_seconds(now - this->last_update);
     for (std::size_t i = 0; i < this->waiting_seconds.size(); ++i)
     {
         this->waiting_seconds[i] += elapsed * static_cast<double>(this->last_load.waiting[i]);
@@ -81,7 +76,7 @@
     this->last_load = load;
     if (now - this->window_begin >= this->options.window)
     {
-        this->close_window(seconds_of(now - this->window_begin));
+        this->close_window(core::to_seconds(now - this->window_begin));
         this->window_begin = now;
     }
 }
@@ -96,7 +91,7 @@
         queue += this->waiting_seconds[i] / seconds;
         this->delay[i] = this->capacity > 0.0 ? queue / this->capacity : queue > 0.0 ? seconds : 0.0;
     }
-    if (this->delay.back() > seconds_of(this->options.target_delay))
+    if (this->delay.back() > core::to_seconds(this->options.target_delay))
     {
         this->overloaded = true;
     }
@@ -153,7 +148,7 @@
     {
         reserved += std::min(this->options.minimum_shares[i] * this->capacity, this->offered_rate[i]);
     }
-    const double target = seconds_of(this->options.target_delay);
+    const double target = core::to_seconds(this->options.target_delay);
     const double wait = this->delay[cls];
     double part = 1.0;
     if (cls <= static_cast<std::size_t>(core::priority_class::critical))
@@ -166,7 +161,7 @@
     }
     if (wait > target)
     {
-        part -= std::min((wait - target) / seconds_of(this->options.drain_time), max_drain_part);
+        part -= std::min((wait - target) / core::to_seconds(this->options.drain_time), max_drain_part);
     }
     return (this->capacity - reserved) * part;
 }
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_state.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_state.hpp
@@ -34,7 +34,7 @@
 
     /// Applies a heartbeat.
     /// @returns whether it changed identity, service, slots or draining
-    bool apply(const instance_heartbeat& beat, core::time_point now);
+    bool apply(const instance_heartbeat& beat);
 
     /// Applies a deregistration: the instance gets no new work any more.
     /// @returns whether the id names the current instance
@@ -48,14 +48,10 @@
 
     bool is_leaving() const noexcept { return this->leaving; }
 
-    /// Returns the time of the last heartbeat.
-    core::time_point last_heard() const noexcept { return this->heard; }
-
 private:
     std::string address;
     std::optional<instance_heartbeat> current;
     bool leaving = false;
-    core::time_point heard{};
 };
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
@@ -43,9 +43,6 @@
     /// Starts connecting.
     void start() { this->connect(); }
 
-    /// Closes the link for good; open calls are reported lost.
-    void stop();
-
     /// Replaces the record after a restart of the other daemon.
     void update(const member_record& record);
 
@@ -75,7 +72,6 @@
         connecting, ///< Until the connection is open.
         greeting,   ///< Until the welcome.
         up,
-        stopped,
     };
 
     void connect();
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
@@ -106,7 +106,6 @@
     std::string fields; ///< Header fields in wire form, without framing.
     std::string body;
     std::string reason; ///< Why there is no response.
-    std::uint32_t retry_after_ms = 0;
     instance_status load;
 };
 
@@ -267,7 +266,7 @@
 {
     static auto fields(auto& m)
     {
-        return std::tie(m.id, m.kind, m.status, m.fields, m.body, m.reason, m.retry_after_ms, m.load);
+        return std::tie(m.id, m.kind, m.status, m.fields, m.body, m.reason, m.load);
     }
 };
 
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
@@ -38,9 +38,6 @@
     /// Sends the state of the instance to all connected daemons.
     void broadcast_status(const instance_status& status);
 
-    /// Returns the number of calls that are not answered yet.
-    std::size_t open_calls() const;
-
 private:
     /// Calls per run below which a ratio counts as none.
     static constexpr double least_ratio = 0.02;
--- a/packages/sidecar/include/laburnumreach/sidecar/send_queue.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/send_queue.hpp
@@ -51,9 +51,6 @@
                           });
     }
 
-    /// Returns the bytes that were not handed to the system yet, those of a send in progress included.
-    std::size_t size() const noexcept { return this->waiting.size() + this->sending.size(); }
-
     bool idle() const noexcept { return !this->in_progress && this->waiting.empty(); }
 
 private:
--- a/packages/sidecar/src/customer_limiter.cpp
+++ b/packages/sidecar/src/customer_limiter.cpp
@@ -5,16 +5,6 @@
 namespace laburnumreach::sidecar
 {
 
-namespace
-{
-
-double seconds(core::duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
-} // namespace
-
 void customer_limiter::configure(std::span<const customer> customers, core::time_point now)
 {
     std::unordered_map<std::string, account> next;
@@ -52,7 +42,7 @@
 
 void customer_limiter::refill(account& limited, core::time_point now) const
 {
-    limited.tokens += seconds(now - limited.refilled) * limited.rate * this->share();
+    limited.tokens += core::to_seconds(now - limited.refilled) * limited.rate * this->share();
     // What is not taken as surplus in time is lost.
     limited.tokens = std::min(limited.tokens, std::max(limited.burst * this->share(), 1.0));
     limited.refilled = now;
@@ -157,7 +147,7 @@
     {
         return;
     }
-    const double elapsed = seconds(now - this->measured);
+    const double elapsed = core::to_seconds(now - this->measured);
     const bool first = this->measured == core::time_point{};
     this->measured = now;
     for (auto& [name, limited] : this->accounts)
--- a/packages/sidecar/src/entry_router.cpp
+++ b/packages/sidecar/src/entry_router.cpp
@@ -1,6 +1,7 @@
 #include "laburnumreach/sidecar/entry_router.hpp"
 
 #include "laburnumreach/sidecar/call_reasons.hpp"
+#include "laburnumreach/sidecar/http_status.hpp"
 #include "laburnumreach/sidecar/instance_choice.hpp"
 #include "laburnumreach/sidecar/wire_text.hpp"
 
@@ -15,14 +16,6 @@
 namespace
 {
 
-constexpr int status_unauthorized = 401;
-constexpr int status_not_found = 404;
-constexpr int status_too_many_requests = 429;
-constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
-constexpr int status_gateway_timeout = 504;
-constexpr int first_server_error = 500;
-
 std::optional<std::uint32_t> parse_ms(std::string_view text)
 {
     std::uint32_t value = 0;
@@ -91,20 +84,20 @@
     constexpr core::duration startup_retry = std::chrono::milliseconds{300};
     if (this->config == nullptr)
     {
-        this->refuse_at_once(*request, status_unavailable, "no_configuration", startup_retry);
+        this->refuse_at_once(*request, http_status::unavailable, "no_configuration", startup_retry);
         return;
     }
     const http::headers& fields = request->head.headers;
     const route* matched = this->config->find_route(http::find_header(fields, "Host"), request->head.target);
     if (matched == nullptr)
     {
-        this->refuse_at_once(*request, status_not_found, "route_unknown");
+        this->refuse_at_once(*request, http_status::not_found, "route_unknown");
         return;
     }
     const customer* owner = nullptr;
     if (this->refusing && !matched->open)
     {
-        this->refuse_at_once(*request, status_unavailable, call_reason::daemon_stopping, startup_retry);
+        this->refuse_at_once(*request, http_status::unavailable, call_reason::daemon_stopping, startup_retry);
         return;
     }
     if (this->config->has_customers() && !matched->open)
@@ -112,7 +105,7 @@
         owner = this->config->find_customer(http::find_header(fields, this->settings.names.credential));
         if (owner == nullptr)
         {
-            this->refuse_at_once(*request, status_unauthorized, "key_unknown");
+            this->refuse_at_once(*request, http_status::unauthorized, "key_unknown");
             return;
         }
         const double lowest = std::max(1, this->config->least_route_priority());
@@ -127,7 +120,7 @@
                                   }
                                   if (!admitted)
                                   {
-                                      this->refuse_at_once(*request, status_too_many_requests,
+                                      this->refuse_at_once(*request, http_status::too_many_requests,
                                                            "rate_exceeded",
                                                            this->retry_wait(matched->latency_objective));
                                       return;
@@ -162,7 +155,7 @@
     if (!nested && this->shedding.sheds(matched, service, rank, this->random.uniform()))
     {
         this->counters.count("shed_total", matched.name);
-        this->refuse_at_once(*request, status_unavailable, "overloaded",
+        this->refuse_at_once(*request, http_status::unavailable, "overloaded",
                              this->retry_wait(matched.latency_objective));
         return;
     }
@@ -300,7 +293,7 @@
                        .fields = std::move(reply.fields),
                        .body = std::move(reply.body),
                        .close = false},
-                      reply.status < first_server_error ? "answered" : "upstream_error");
+                      reply.status < http_status::first_server_error ? "answered" : "upstream_error");
         return;
     case reply_kind::not_started:
         call.last_reason = reply.reason;
@@ -371,10 +364,11 @@
     }
     if (call.may_have_run)
     {
-        this->refuse(call, now >= call.deadline ? status_gateway_timeout : status_bad_gateway, reason);
+        this->refuse(call, now >= call.deadline ? http_status::gateway_timeout : http_status::bad_gateway,
+                     reason);
         return;
     }
-    this->refuse(call, status_unavailable, reason, this->retry_wait(call.latency_objective));
+    this->refuse(call, http_status::unavailable, reason, this->retry_wait(call.latency_objective));
 }
 
 /// Returns the advised wait of a caller that was turned away: early enough for an answer within the latency
@@ -396,7 +390,7 @@
     this->counters.count("requests_total", outcome);
     this->by_deadline.erase({call.deadline, call.id});
     this->unplaced.erase(call.id);
-    if (reply.status >= first_server_error || took > call.latency_objective)
+    if (reply.status >= http_status::first_server_error || took > call.latency_objective)
     {
         this->events.request_event("request_ended", {{"request", call.message.attempt_id},
                                                      {"route", call.message.route},
@@ -500,7 +494,8 @@
         const bool held = !call.daemon_id.empty();
         this->withdraw(call);
         const bool may_have_run = held || call.may_have_run;
-        this->refuse(call, may_have_run ? status_gateway_timeout : status_unavailable, call_reason::deadline);
+        this->refuse(call, may_have_run ? http_status::gateway_timeout : http_status::unavailable,
+                     call_reason::deadline);
     }
     const std::set<std::uint64_t> waiting = this->unplaced;
     for (const std::uint64_t id : waiting)
--- a/packages/sidecar/src/exit_runner.cpp
+++ b/packages/sidecar/src/exit_runner.cpp
@@ -1,6 +1,7 @@
 #include "laburnumreach/sidecar/exit_runner.hpp"
 
 #include "laburnumreach/sidecar/call_reasons.hpp"
+#include "laburnumreach/sidecar/http_status.hpp"
 #include "laburnumreach/sidecar/wire_text.hpp"
 
 #include <algorithm>
@@ -335,13 +336,12 @@
     }
     const header_names& names = this->settings.names;
     const http::headers& fields = result.head.headers;
-    constexpr int misdirected = 421;
     reply.status = static_cast<std::uint16_t>(result.head.status);
-    if (fields.contains(names.not_executed) || result.head.status == misdirected)
+    if (fields.contains(names.not_executed) || result.head.status == http_status::misdirected)
     {
         reply.kind = static_cast<std::uint8_t>(reply_kind::rejected);
-        reply.reason =
-            result.head.status == misdirected ? call_reason::other_instance : call_reason::instance_rejected;
+        reply.reason = result.head.status == http_status::misdirected ? call_reason::other_instance
+                                                                      : call_reason::instance_rejected;
         return reply;
     }
     if (!fields.contains(names.signature) || fields.contains("Content-Encoding") ||
--- a/packages/sidecar/src/fleet_routes.cpp
+++ b/packages/sidecar/src/fleet_routes.cpp
@@ -1,27 +1,12 @@
 #include "laburnumreach/sidecar/fleet_routes.hpp"
 
+#include "laburnumreach/http/headers.hpp"
+
 #include <algorithm>
 
 namespace laburnumreach::sidecar
 {
 
-namespace
-{
-
-std::string lower_case(std::string_view text)
-{
-    std::string lowered{text};
-    std::transform(lowered.begin(), lowered.end(), lowered.begin(),
-                   [](char character)
-                   {
-                       const bool upper = character >= 'A' && character <= 'Z';
-                       return upper ? static_cast<char>(character - 'A' + 'a') : character;
-                   });
-    return lowered;
-}
-
-} // namespace
-
 fleet_routes::fleet_routes(contents parts)
     : number(parts.version), health_paths(std::move(parts.health_paths)), bounds(parts.limits)
 {
@@ -32,7 +17,7 @@
             this->largest_priority =
                 std::max(this->largest_priority, candidate.open ? 0 : candidate.priority);
         }
-        std::vector<route>& routes = this->by_host[lower_case(entry.host)];
+        std::vector<route>& routes = this->by_host[http::lower_case(entry.host)];
         std::move(entry.routes.begin(), entry.routes.end(), std::back_inserter(routes));
         std::stable_sort(routes.begin(), routes.end(),
                          [](const route& left, const route& right)
@@ -50,7 +35,7 @@
 
 const route* fleet_routes::find_route(std::string_view host, std::string_view target) const
 {
-    const std::string name = lower_case(host.substr(0, host.rfind(':')));
+    const std::string name = http::lower_case(host.substr(0, host.rfind(':')));
     const auto found = this->by_host.find(name);
     if (found == this->by_host.end())
     {
--- a/packages/sidecar/src/instance_probe.cpp
+++ b/packages/sidecar/src/instance_probe.cpp
@@ -1,5 +1,7 @@
 #include "laburnumreach/sidecar/instance_probe.hpp"
 
+#include "laburnumreach/sidecar/http_status.hpp"
+
 #include <charconv>
 
 namespace laburnumreach::sidecar
@@ -49,11 +51,10 @@
 
 void instance_probe::on_result(const instance_result& result)
 {
-    constexpr int status_ok = 200;
     const http::headers& fields = result.head.headers;
     const std::string_view id = http::find_header(fields, this->settings.names.instance_id);
     const std::uint32_t slots = parse_slots(http::find_header(fields, this->settings.names.load));
-    if (result.outcome != instance_outcome::complete || result.head.status != status_ok || id.empty() ||
+    if (result.outcome != instance_outcome::complete || result.head.status != http_status::ok || id.empty() ||
         slots == 0)
     {
         return; // It is leaving, not there, or does not tell; its heartbeat will say.
--- a/packages/sidecar/src/instance_state.cpp
+++ b/packages/sidecar/src/instance_state.cpp
@@ -3,7 +3,7 @@
 namespace laburnumreach::sidecar
 {
 
-bool instance_state::apply(const instance_heartbeat& beat, core::time_point now)
+bool instance_state::apply(const instance_heartbeat& beat)
 {
     if (beat.address != this->address)
     {
@@ -26,7 +26,6 @@
     const bool changed = !same_incarnation || was_leaving != this->leaving ||
                          this->current->service != beat.service || this->current->slots != beat.slots;
     this->current = beat;
-    this->heard = now;
     return changed;
 }
 
--- a/packages/sidecar/src/load_shedder.cpp
+++ b/packages/sidecar/src/load_shedder.cpp
@@ -14,11 +14,6 @@
 /// Age from which a daemon's report of its demand no longer counts; reports come twice a second.
 constexpr core::duration report_lifetime = std::chrono::milliseconds{1200};
 
-double seconds(core::duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 } // namespace
 
 void load_shedder::configure(const fleet_routes& routes)
@@ -170,7 +165,7 @@
     {
         return;
     }
-    const double elapsed = std::min(seconds(now - this->stepped), 1.0);
+    const double elapsed = std::min(core::to_seconds(now - this->stepped), 1.0);
     this->stepped = now;
     this->sum_instances();
     const auto asked = this->sum_demand(now);
@@ -199,7 +194,7 @@
     {
         service_state& state = this->services[status.service];
         const double capacity = status.slots * 1000.0 / std::max(status.run_ms, 1U);
-        const double target = status.slots + capacity * seconds(this->options.target_wait);
+        const double target = status.slots + capacity * core::to_seconds(this->options.target_wait);
         state.available = true;
         state.slots += status.slots;
         state.calls += status.running + status.queued;
@@ -271,8 +266,8 @@
 double load_shedder::admitted_rate(const service_state& state) const
 {
     const double estimate = state.capacity * state.correction;
-    const double target = state.slots + state.capacity * seconds(this->options.target_wait);
-    const double worked_off = excess_of(state) * target / seconds(this->options.drain_time);
+    const double target = state.slots + state.capacity * core::to_seconds(this->options.target_wait);
+    const double worked_off = excess_of(state) * target / core::to_seconds(this->options.drain_time);
     return std::max(estimate - worked_off, estimate * this->options.least_admitted);
 }
 
--- a/packages/sidecar/src/peer_link.cpp
+++ b/packages/sidecar/src/peer_link.cpp
@@ -194,8 +194,6 @@
 {
     switch (this->state)
     {
-    case phase::stopped:
-        return;
     case phase::waiting:
         if (now - this->phase_since > reconnect_delay)
         {
@@ -268,18 +266,9 @@
         this->stream->close();
         this->stream = nullptr;
     }
-    if (this->state == phase::up)
-    {
-        // The connection alone may be at fault, so another one is tried without a delay.
-        this->state = phase::waiting;
-        this->phase_since = {};
-        return;
-    }
-    if (this->state != phase::stopped)
-    {
-        this->state = phase::waiting;
-        this->phase_since = core::boot_clock::now();
-    }
+    // Of a link that worked the connection alone may be at fault, so another one is tried without a delay.
+    this->phase_since = this->state == phase::up ? core::time_point{} : core::boot_clock::now();
+    this->state = phase::waiting;
 }
 
 void peer_link::lose_all()
@@ -291,11 +280,4 @@
     }
 }
 
-void peer_link::stop()
-{
-    this->disconnect("stopped");
-    this->state = phase::stopped;
-    this->lose_all();
-}
-
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/src/peer_server.cpp
+++ b/packages/sidecar/src/peer_server.cpp
@@ -250,14 +250,4 @@
     }
 }
 
-std::size_t peer_server::open_calls() const
-{
-    std::size_t count = 0;
-    for (const auto& [daemon_id, known] : this->sessions)
-    {
-        count += known.open.size();
-    }
-    return count;
-}
-
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/src/route_demand_meter.cpp
+++ b/packages/sidecar/src/route_demand_meter.cpp
@@ -27,7 +27,7 @@
     {
         this->smoothed.try_emplace(key, 0.0);
     }
-    const double elapsed_s = std::chrono::duration<double>(elapsed).count();
+    const double elapsed_s = core::to_seconds(elapsed);
     for (auto& [key, rate] : this->smoothed)
     {
         const auto counted = this->counts.find(key);
--- a/packages/sidecar/src/server_connection.cpp
+++ b/packages/sidecar/src/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "laburnumreach/sidecar/server_connection.hpp"
 
+#include "laburnumreach/sidecar/http_status.hpp"
 #include "laburnumreach/sidecar/status_text.hpp"
 
 #include <array>
@@ -128,7 +129,8 @@
     const auto size = http::find_head_end(bytes, this->head_scanned, limits.max_header_bytes);
     if (!size)
     {
-        this->refuse(size.error() == http::message_fault::head_too_large ? 431 : 400);
+        this->refuse(size.error() == http::message_fault::head_too_large ? http_status::head_too_large
+                                                                         : http_status::bad_request);
         return false;
     }
     if (*size == 0)
@@ -138,7 +140,7 @@
     auto head = http::parse_request_head(bytes.substr(0, *size));
     if (!head)
     {
-        this->refuse(400);
+        this->refuse(http_status::bad_request);
         return false;
     }
     this->received.consume(*size);
@@ -146,7 +148,7 @@
     if (head->framing.type == http::body_framing::kind::length &&
         head->framing.length > limits.max_body_bytes)
     {
-        this->refuse(413);
+        this->refuse(http_status::payload_too_large);
         return false;
     }
     this->incoming = std::make_shared<exchange>();
@@ -175,7 +177,7 @@
         if (this->incoming->body.size() > this->context->limits().max_body_bytes)
         {
             this->incoming = nullptr;
-            this->refuse(413);
+            this->refuse(http_status::payload_too_large);
             return false;
         }
         if (step.consumed == 0 && step.produced == 0)
@@ -186,7 +188,7 @@
     if (this->decoder->status() == http::body_decoder::state::malformed)
     {
         this->incoming = nullptr;
-        this->refuse(400);
+        this->refuse(http_status::bad_request);
         return false;
     }
     if (this->decoder->status() != http::body_decoder::state::done)
@@ -258,8 +260,8 @@
     head += status_text(reply.status);
     head += "\r\n";
     head += reply.fields;
-    constexpr int no_content = 204; // Has no body and must not state a length.
-    if (reply.status != no_content)
+    // This one has no body and must not state a length.
+    if (reply.status != http_status::no_content)
     {
         head.append("Content-Length: ").append(std::to_string(reply.body.size())).append("\r\n");
     }
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -1,5 +1,7 @@
 #include "laburnumreach/sidecar/sidecar_daemon.hpp"
 
+#include "laburnumreach/sidecar/http_status.hpp"
+
 #include <algorithm>
 #include <csignal>
 
@@ -357,18 +359,16 @@
 {
     const announcement said =
         this->platform.decode_announcement(request->head.method, request->head.target, request->body);
-    constexpr int status_ok = 200;
-    constexpr int status_bad_request = 400;
     if (const auto* unusable = std::get_if<unusable_announcement>(&said))
     {
         this->events.state_event("announcement_refused", {{"cause", unusable->reason}});
-        request->respond({.status = status_bad_request});
+        request->respond({.status = http_status::bad_request});
         return;
     }
     bool changed = false;
     if (const auto* beat = std::get_if<instance_heartbeat>(&said))
     {
-        changed = this->instance.apply(*beat, core::boot_clock::now());
+        changed = this->instance.apply(*beat);
     }
     else
     {
@@ -378,7 +378,7 @@
     {
         this->on_instance_changed();
     }
-    request->respond({.status = status_ok,
+    request->respond({.status = http_status::ok,
                       .fields = this->platform.acknowledgement_fields,
                       .body = this->platform.acknowledgement});
 }
@@ -386,7 +386,7 @@
 /// Takes over what the instance says to a health check, until its heartbeat says more.
 void sidecar_daemon::on_probed(const instance_heartbeat& found)
 {
-    if (!this->instance.instance() && this->instance.apply(found, core::boot_clock::now()))
+    if (!this->instance.instance() && this->instance.apply(found))
     {
         this->on_instance_changed();
     }
@@ -405,16 +405,13 @@
 
 void sidecar_daemon::on_ready(const std::shared_ptr<exchange>& request)
 {
-    constexpr int status_ok = 200;
-    constexpr int status_unavailable = 503;
     const bool serving = this->router.routes() != nullptr && !this->stop_requested;
-    request->respond({.status = serving ? status_ok : status_unavailable});
+    request->respond({.status = serving ? http_status::ok : http_status::unavailable});
 }
 
 void sidecar_daemon::on_metrics(const std::shared_ptr<exchange>& request)
 {
-    constexpr int status_ok = 200;
-    request->respond({.status = status_ok,
+    request->respond({.status = http_status::ok,
                       .fields = "Content-Type: text/plain; version=0.0.4\r\n",
                       .body = this->counters.text()});
 }
--- a/packages/sidecar/tests/knowledge_test.cpp
+++ b/packages/sidecar/tests/knowledge_test.cpp
@@ -42,42 +42,42 @@
     void late_heartbeat_does_not_undo_draining()
     {
         instance_state state{"10.0.0.1:80"};
-        state.apply(beat(1000, 1), start);
+        state.apply(beat(1000, 1));
         CPPUNIT_ASSERT(state.accepts_work());
-        state.apply(beat(1000, 3, true), start);
+        state.apply(beat(1000, 3, true));
         CPPUNIT_ASSERT(!state.accepts_work());
-        state.apply(beat(1000, 2), start);
-        state.apply(beat(1000, 4), start);
+        state.apply(beat(1000, 2));
+        state.apply(beat(1000, 4));
         CPPUNIT_ASSERT(!state.accepts_work());
     }
 
     void heartbeat_of_an_earlier_incarnation_is_ignored()
     {
         instance_state state{"10.0.0.1:80"};
-        state.apply(beat(2000, 1), start);
-        CPPUNIT_ASSERT(!state.apply(beat(1000, 9, true), start));
+        state.apply(beat(2000, 1));
+        CPPUNIT_ASSERT(!state.apply(beat(1000, 9, true)));
         CPPUNIT_ASSERT(state.accepts_work());
     }
 
     void same_id_may_start_again()
     {
         instance_state state{"10.0.0.1:80"};
-        state.apply(beat(1000, 9, true), start);
-        CPPUNIT_ASSERT(state.apply(beat(2000, 1), start));
+        state.apply(beat(1000, 9, true));
+        CPPUNIT_ASSERT(state.apply(beat(2000, 1)));
         CPPUNIT_ASSERT(state.accepts_work());
     }
 
     void heartbeat_of_another_address_is_ignored()
     {
         instance_state state{"10.0.0.2:80"};
-        state.apply(beat(1000, 1), start);
+        state.apply(beat(1000, 1));
         CPPUNIT_ASSERT(!state.instance());
     }
 
     void departure_of_another_instance_is_ignored()
     {
         instance_state state{"10.0.0.1:80"};
-        state.apply(beat(1000, 1), start);
+        state.apply(beat(1000, 1));
         CPPUNIT_ASSERT(!state.deregister("i-0"));
         CPPUNIT_ASSERT(state.accepts_work());
         CPPUNIT_ASSERT(state.deregister("i-1"));
--- a/packages/sidecar/tests/peer_server_test.cpp
+++ b/packages/sidecar/tests/peer_server_test.cpp
@@ -142,7 +142,7 @@
 public:
     void setUp() override
     {
-        this->state.apply({.id = "i", .address = "a", .service = "s", .slots = 10, .sequence = 1}, {});
+        this->state.apply({.id = "i", .address = "a", .service = "s", .slots = 10, .sequence = 1});
         this->accept();
     }
 
--- a/packages/standin/programs/loadgen.cpp
+++ b/packages/standin/programs/loadgen.cpp
@@ -1,3 +1,4 @@
+#include "laburnumreach/core/read_file.hpp"
 #include "laburnumreach/standin/load_generator.hpp"
 #include "laburnumreach/standin/load_report.hpp"
 #include "laburnumreach/standin/load_scenario.hpp"
@@ -90,10 +91,8 @@
 
 core::result<standin::load_scenario> read_scenario(const command_line& line)
 {
-    std::ifstream file{line.scenario_file};
-    std::ostringstream text;
-    text << file.rdbuf();
-    core::result<standin::load_scenario> scenario = standin::parse_load_scenario(text.str());
+    const std::string text = core::read_file(line.scenario_file).value_or("");
+    core::result<standin::load_scenario> scenario = standin::parse_load_scenario(text);
     if (!scenario)
     {
         return scenario;
