Group customers by their home when homes change

Each probe to a peer looked through all customers for those whose home the peer is: members times customers lookups twice a second, which grows with the square of the deployment. The groups are now made when the customers or the reachable daemons change. No change of behaviour.

--- a/packages/sidecar/include/laburnumreach/sidecar/customer_admission.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/customer_admission.hpp
@@ -88,7 +88,7 @@
         core::time_point until{};
     };
 
-    const std::string& home_of(const std::string& customer);
+    void assign_homes();
     bool withdraw(const std::string& customer, double leniency);
     void finish(std::uint64_t id, bool admitted);
 
@@ -96,8 +96,10 @@
     customer_limiter limiter;
     customer_token_pool pool;
     ask ask_home;
-    std::vector<std::string> daemons; ///< That can be reached, this one included; sorted.
-    std::unordered_map<std::string, std::string> homes;
+    std::vector<std::string> daemons;                   ///< That can be reached, this one included; sorted.
+    std::unordered_map<std::string, std::string> homes; ///< By customer.
+    /// By home, since each probe to a daemon carries the tokens of its customers.
+    std::unordered_map<std::string, std::vector<std::string>> customers_of;
     std::unordered_map<std::string, refusal> refusals; ///< By customer.
     std::map<std::uint64_t, waiting_request> waiting;  ///< In the order of asking.
     std::uint64_t next_id = 1;
--- a/packages/sidecar/src/customer_admission.cpp
+++ b/packages/sidecar/src/customer_admission.cpp
@@ -10,6 +10,7 @@
 {
     this->limiter.configure(customers, now);
     this->pool.remove_if([this](const std::string& name) { return !this->limiter.limits(name); });
+    this->assign_homes();
 }
 
 void customer_admission::record_report(const std::string& from, std::span<const customer_demand> demand,
@@ -29,26 +30,30 @@
     if (reachable != this->daemons)
     {
         this->daemons = std::move(reachable);
-        this->homes.clear();
+        this->assign_homes();
     }
 }
 
-/// Returns the daemon that holds a customer's unused tokens: the one with the highest hash, so that few
-/// customers move when a daemon comes or goes.
-const std::string& customer_admission::home_of(const std::string& customer)
+/// Chooses the daemon that holds the unused tokens of each customer: the one with the highest hash, so that
+/// few customers move when a daemon comes or goes.
+void customer_admission::assign_homes()
 {
-    const auto [known, added] = this->homes.try_emplace(customer);
-    if (added)
-    {
-        const std::uint64_t seed = XXH3_64bits(customer.data(), customer.size());
-        known->second = *std::max_element(this->daemons.begin(), this->daemons.end(),
-                                          [seed](const std::string& one, const std::string& other)
-                                          {
-                                              return XXH3_64bits_withSeed(one.data(), one.size(), seed) <
-                                                     XXH3_64bits_withSeed(other.data(), other.size(), seed);
-                                          });
-    }
-    return known->second;
+    this->homes.clear();
+    this->customers_of.clear();
+    this->limiter.for_each_customer(
+        [this](const std::string& customer)
+        {
+            const std::uint64_t seed = XXH3_64bits(customer.data(), customer.size());
+            const std::string& home =
+                *std::max_element(this->daemons.begin(), this->daemons.end(),
+                                  [seed](const std::string& one, const std::string& other)
+                                  {
+                                      return XXH3_64bits_withSeed(one.data(), one.size(), seed) <
+                                             XXH3_64bits_withSeed(other.data(), other.size(), seed);
+                                  });
+            this->homes.emplace(customer, home);
+            this->customers_of[home].push_back(customer);
+        });
 }
 
 void customer_admission::admit(const std::string& customer, double leniency, core::time_point now,
@@ -59,7 +64,7 @@
         decided(true);
         return;
     }
-    const std::string& home = this->home_of(customer);
+    const std::string& home = this->homes.at(customer);
     if (home == this->daemon_id)
     {
         decided(this->withdraw(customer, leniency));
@@ -113,19 +118,19 @@
 std::vector<customer_tokens> customer_admission::take_surplus(const std::string& home, core::time_point now)
 {
     std::vector<customer_tokens> given;
-    this->limiter.for_each_customer(
-        [&](const std::string& name)
+    const auto found = this->customers_of.find(home);
+    if (found == this->customers_of.end())
+    {
+        return given;
+    }
+    for (const std::string& name : found->second)
+    {
+        const double tokens = this->limiter.take_surplus(name, now);
+        if (tokens > 0)
         {
-            if (this->home_of(name) != home)
-            {
-                return;
-            }
-            const double tokens = this->limiter.take_surplus(name, now);
-            if (tokens > 0)
-            {
-                given.push_back({.customer = name, .tokens = tokens});
-            }
-        });
+            given.push_back({.customer = name, .tokens = tokens});
+        }
+    }
     return given;
 }
 
