--- a/packages/sidecar/include/laburnumreach/sidecar/entry_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/entry_router.hpp
@@ -9,8 +9,8 @@
 #include "laburnumreach/sidecar/exit_runner.hpp"
 #include "laburnumreach/sidecar/fleet_routes.hpp"
 #include "laburnumreach/sidecar/header_names.hpp"
+#include "laburnumreach/sidecar/instance_placement.hpp"
 #include "laburnumreach/sidecar/load_shedder.hpp"
-#include "laburnumreach/sidecar/peer_link.hpp"
 #include "laburnumreach/sidecar/repeat_budget.hpp"
 #include "laburnumreach/sidecar/route_demand_meter.hpp"
 #include "laburnumreach/sidecar/sidecar_metrics.hpp"
@@ -54,7 +54,7 @@
     /// Returns the configuration in force; null before the first one.
     const std::shared_ptr<const fleet_routes>& routes() const noexcept { return this->config; }
 
-    void add_link(const std::shared_ptr<peer_link>& link);
+    void add_link(const std::shared_ptr<peer_link>& link) { this->placement.add_link(link); }
 
     void on_reply(reply_message reply);
     void on_lost(std::uint64_t call_id);
@@ -87,13 +87,6 @@
     }
 
 private:
-    /// An instance as this daemon sees it.
-    struct known_instance
-    {
-        instance_status status;
-        double sent_since_report = 0;
-    };
-
     /// Longest wait for an instance to become known or reachable.
     static constexpr core::duration placement_limit = std::chrono::milliseconds{400};
     /// Daemons that a call is tried at when each states that it did not start.
@@ -121,9 +114,8 @@
     event_log& events;
     sidecar_metrics& counters;
     core::random_source random;
+    instance_placement placement;
     std::shared_ptr<const fleet_routes> config;
-    std::map<std::string, std::shared_ptr<peer_link>> links;
-    std::map<std::string, known_instance> instances; ///< By daemon, this one included.
     std::unordered_map<std::uint64_t, entry_call> calls;
     std::set<std::pair<core::time_point, std::uint64_t>> by_deadline;
     std::set<std::uint64_t> unplaced; ///< Calls that wait for an instance.
--- a/packages/sidecar/include/laburnumreach/sidecar/wire_text.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/wire_text.hpp
@@ -5,8 +5,13 @@
 #include "laburnumreach/http/headers.hpp"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <cstdint>
+#include <cstdio>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace laburnumreach::sidecar
 {
@@ -18,6 +23,27 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(count, 0));
 }
 
+/// Reads whole milliseconds.
+/// @returns no value when the text is anything else
+inline std::optional<std::uint32_t> parse_ms(std::string_view text)
+{
+    std::uint32_t value = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return fault == std::errc{} && end == text.data() + text.size() ? std::optional{value} : std::nullopt;
+}
+
+/// Returns a Retry-After field in wire form; nothing for a time that is over.
+inline std::string retry_after_field(core::duration wait)
+{
+    if (wait <= core::duration::zero())
+    {
+        return {};
+    }
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "Retry-After: %.2f\r\n", core::to_seconds(wait));
+    return text.data();
+}
+
 /// Returns header fields in wire form, without those that concern one connection only.
 inline std::string end_to_end_fields(http::headers fields)
 {
--- a/packages/sidecar/src/entry_router.cpp
+++ b/packages/sidecar/src/entry_router.cpp
@@ -2,41 +2,14 @@
 
 #include "laburnumreach/sidecar/call_reasons.hpp"
 #include "laburnumreach/sidecar/http_status.hpp"
-#include "laburnumreach/sidecar/instance_choice.hpp"
 #include "laburnumreach/sidecar/wire_text.hpp"
 
 #include <algorithm>
-#include <charconv>
-#include <cstdio>
 #include <random>
 
 namespace laburnumreach::sidecar
 {
 
-namespace
-{
-
-std::optional<std::uint32_t> parse_ms(std::string_view text)
-{
-    std::uint32_t value = 0;
-    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return fault == std::errc{} && end == text.data() + text.size() ? std::optional{value} : std::nullopt;
-}
-
-std::string retry_after_field(core::duration wait)
-{
-    if (wait <= core::duration::zero())
-    {
-        return {};
-    }
-    std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), "Retry-After: %.2f\r\n",
-                  std::chrono::duration<double>(wait).count());
-    return text.data();
-}
-
-} // namespace
-
 entry_router::entry_router(options chosen, exit_runner& local_runner, event_log& log,
                            sidecar_metrics& metrics)
     : settings(std::move(chosen)),
@@ -44,6 +17,7 @@
       events(log),
       counters(metrics),
       random(std::random_device{}()),
+      placement(this->settings.daemon_id, this->settings.zone),
       customers(this->settings.daemon_id, this->settings.quota,
                 [this](const std::string& daemon_id, const token_request_message& request)
                 { this->ask_home(daemon_id, request); })
@@ -57,11 +31,6 @@
     this->shedding.configure(*this->config);
 }
 
-void entry_router::add_link(const std::shared_ptr<peer_link>& link)
-{
-    this->links[link->target().daemon_id] = link;
-}
-
 void entry_router::record_probe(const std::string& daemon_id, const probe_message& probe)
 {
     const core::time_point now = core::boot_clock::now();
@@ -134,10 +103,9 @@
 
 void entry_router::ask_home(const std::string& daemon_id, const token_request_message& request)
 {
-    const auto link = this->links.find(daemon_id);
-    if (link != this->links.end())
+    if (peer_link* link = this->placement.find_link(daemon_id))
     {
-        link->second->send_token_request(request);
+        link->send_token_request(request);
     }
 }
 
@@ -224,34 +192,13 @@
 /// @returns false when no instance can take the call now
 bool entry_router::place(entry_call& call)
 {
-    std::vector<choice_candidate> candidates;
-    std::vector<const std::string*> daemons;
-    for (const auto& [daemon_id, known] : this->instances)
-    {
-        const bool usable = known.status.accepts_work && known.status.service == call.message.service;
-        if (!usable || std::find(call.tried.begin(), call.tried.end(), daemon_id) != call.tried.end())
-        {
-            continue;
-        }
-        const bool local = daemon_id == this->settings.daemon_id;
-        const auto link = this->links.find(daemon_id);
-        if (!local && (link == this->links.end() || !link->second->usable()))
-        {
-            continue;
-        }
-        candidates.push_back({.same_zone = local || link->second->target().zone == this->settings.zone,
-                              .slots = static_cast<double>(known.status.slots),
-                              .load = known.status.running + known.status.queued + known.sent_since_report,
-                              .run_ms = static_cast<double>(known.status.run_ms)});
-        daemons.push_back(&daemon_id);
-    }
-    const std::optional<std::size_t> chosen =
-        choose_instance(candidates, call.large_body ? large_body_choice : choice_options{});
-    if (!chosen)
+    const std::string* daemon_id = this->placement.choose(
+        call.message.service, call.tried, call.large_body ? large_body_choice : choice_options{});
+    if (daemon_id == nullptr)
     {
         return false;
     }
-    this->send(call, *daemons[*chosen]);
+    this->send(call, *daemon_id);
     return true;
 }
 
@@ -260,20 +207,19 @@
     const core::time_point now = core::boot_clock::now();
     call.daemon_id = daemon_id;
     call.message.remaining_ms = to_ms(call.deadline - now);
-    call.message.id = call.id;
-    this->instances.at(daemon_id).sent_since_report += 1;
+    this->placement.record_sent(daemon_id);
     if (daemon_id == this->settings.daemon_id)
     {
         call.local_ticket = this->runner.submit(call.message, [this](reply_message reply)
                                                 { this->on_reply(std::move(reply)); });
         return;
     }
-    this->links.at(daemon_id)->send_call(call.message);
+    this->placement.find_link(daemon_id)->send_call(call.message);
 }
 
 void entry_router::on_status(const std::string& daemon_id, const instance_status& status)
 {
-    this->instances[daemon_id] = {.status = status, .sent_since_report = 0};
+    this->placement.record_status(daemon_id, status);
     this->shedding.record_status(daemon_id, status);
 }
 
@@ -441,9 +387,9 @@
     {
         this->runner.cancel(call.local_ticket);
     }
-    else if (const auto link = this->links.find(call.daemon_id); link != this->links.end())
+    else if (peer_link* link = this->placement.find_link(call.daemon_id))
     {
-        link->second->send_cancel(call.id);
+        link->send_cancel(call.id);
     }
 }
 
@@ -472,7 +418,7 @@
 void entry_router::update_reachable()
 {
     std::vector<std::string> reachable;
-    for (const auto& [daemon_id, link] : this->links)
+    for (const auto& [daemon_id, link] : this->placement.links())
     {
         if (link->usable())
         {
