Reserve the ports of test listeners until they are bound

The tests looked a free port up with a socket that they closed before the daemon bound the port. Between the two, the kernel could give the same port to the next look-up (10 ports a fleet, so about 0.3% of fleets) or to an outgoing connection of the process. Ruled out: other test programs (the test runs serially) and connections in TIME_WAIT (listeners set SO_REUSEADDR).

port_reservation keeps a socket bound to the port without listening, so the kernel gives the port to nobody else and the listener of the test still binds it. The same race stood in the tests of the control transport.

--- a/packages/integration/tests/test_fleet.hpp
+++ b/packages/integration/tests/test_fleet.hpp
@@ -8,17 +8,15 @@
 #include "laburnumreach/platform/config_repository.hpp"
 #include "laburnumreach/platform/http_object_store.hpp"
 #include "laburnumreach/standin/platform_standin.hpp"
+#include "laburnumreach/standin/port_reservation.hpp"
 #include "laburnumreach/standin/upstream_standin.hpp"
 
 #include <cppunit/TestAssert.h>
 #include <functional>
 #include <memory>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 #include <vector>
 
 namespace laburnumreach::integration
@@ -38,20 +36,6 @@
     }
 }
 
-/// Returns a port that is free now.
-inline std::uint16_t free_port()
-{
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    CPPUNIT_ASSERT(::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
-    CPPUNIT_ASSERT(::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-    ::close(descriptor);
-    return ntohs(address.sin_port);
-}
-
 inline const std::string serra_key = "serra-key-0123456789";
 inline const std::string marta_key = "marta-key-0123456789";
 
@@ -194,6 +178,9 @@
     std::vector<std::unique_ptr<standin::upstream_standin>> upstreams;
 
 private:
+    /// Returns a port that stays reserved for a listener of this fleet.
+    std::uint16_t reserve_port() { return this->ports.emplace_back().port(); }
+
     config::daemon_settings make_settings(const std::string& id, const std::string& zone)
     {
         config::daemon_settings one;
@@ -202,11 +189,11 @@
         one.region = "south";
         one.fleet_secret = "0123456789abcdef0123";
         one.listen = {.address = "127.0.0.1",
-                      .callers = free_port(),
-                      .peers = free_port(),
-                      .control = free_port(),
-                      .local = free_port(),
-                      .admin = free_port()};
+                      .callers = this->reserve_port(),
+                      .peers = this->reserve_port(),
+                      .control = this->reserve_port(),
+                      .local = this->reserve_port(),
+                      .admin = this->reserve_port()};
         one.platform.address = {.address = "127.0.0.1", .port = this->platform.port()};
         one.limits.workers = 24;
         one.level = config::log_level::error;
@@ -247,6 +234,7 @@
         this->upstreams.push_back(std::move(upstream));
     }
 
+    std::vector<standin::port_reservation> ports;
     standin::platform_standin platform;
     std::unique_ptr<platform::http_object_store> store;
     http::client_pool client{http::client_pool_options{}};
--- a/packages/protocol/tests/control_transport_test.cpp
+++ b/packages/protocol/tests/control_transport_test.cpp
@@ -1,10 +1,10 @@
 #include "laburnumreach/protocol/control_transport.hpp"
 
+#include "laburnumreach/standin/port_reservation.hpp"
+
 #include <cppunit/extensions/HelperMacros.h>
-#include <netinet/in.h>
 #include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <vector>
 
 namespace laburnumreach::protocol
 {
@@ -15,19 +15,6 @@
 /// Bound against a hanging test; no verdict depends on the time measured.
 constexpr int receive_limit_ms = 10'000;
 
-std::string free_loopback_address()
-{
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    CPPUNIT_ASSERT(::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
-    CPPUNIT_ASSERT(::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-    ::close(descriptor);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 std::unique_ptr<control_transport> open_transport(const std::string& address)
 {
     auto transport = control_transport::open({.listen_address = address, .max_connections = 2});
@@ -60,8 +47,10 @@
 public:
     void delivers_before_the_connection_is_up()
     {
-        const auto sender = open_transport(free_loopback_address());
-        const std::string target = free_loopback_address();
+        const standin::port_reservation own;
+        const standin::port_reservation other;
+        const auto sender = open_transport(own.address());
+        const std::string target = other.address();
         const std::vector<std::uint8_t> message{1, 2, 3};
         sender->send(target, message);
         const auto receiver = open_transport(target);
@@ -70,8 +59,10 @@
 
     void delivers_again_after_reset_and_eviction()
     {
-        const auto sender = open_transport(free_loopback_address());
-        const std::string target = free_loopback_address();
+        const standin::port_reservation own;
+        const standin::port_reservation other;
+        const auto sender = open_transport(own.address());
+        const std::string target = other.address();
         const auto receiver = open_transport(target);
         const std::vector<std::uint8_t> message{9};
         sender->send(target, message);
@@ -80,8 +71,9 @@
         sender->send(target, message);
         receive_one(*receiver);
         // Two more addresses push the first connection out of the set of two.
-        sender->send(free_loopback_address(), message);
-        sender->send(free_loopback_address(), message);
+        const std::vector<standin::port_reservation> silent(2);
+        sender->send(silent.front().address(), message);
+        sender->send(silent.back().address(), message);
         sender->send(target, message);
         receive_one(*receiver);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, receiver->counters().messages_received);
@@ -89,7 +81,8 @@
 
     void second_listener_on_an_address_fails()
     {
-        const std::string address = free_loopback_address();
+        const standin::port_reservation reserved;
+        const std::string address = reserved.address();
         const auto first = open_transport(address);
         CPPUNIT_ASSERT(!control_transport::open({.listen_address = address}).has_value());
     }
