Give callers of a busy service a part of its starts

Cause: calls of runs that have begun went first without a limit.

Callers' requests now get a quarter of the starts while nested calls wait, and one that is not expected to start in time is refused at once, so that its caller can come back.

--- a/packages/sidecar/include/laburnumreach/sidecar/exit_runner.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/exit_runner.hpp
@@ -96,6 +96,7 @@
     std::uint32_t usable_slots() const;
     void start(ticket id);
     void start_waiting();
+    bool can_start_in_time(const waiting_call& call, core::time_point now) const;
     void post_start();
     void on_result(ticket id, const std::shared_ptr<instance_connection>& connection, instance_result result);
     void finish(ticket id, reply_message reply);
--- a/packages/sidecar/include/laburnumreach/sidecar/slot_queue.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/slot_queue.hpp
@@ -26,8 +26,9 @@
 ///
 /// Load pattern: a service at the end of call chains is asked for more than its slots for seconds. Calls of
 /// runs that have begun go first, since turning one away wastes the work done above it; then the more
-/// important ones; then the oldest. A call that could no longer end in time leaves instead of running for
-/// nothing.
+/// important ones; then the oldest. Callers who address the service itself keep a part of the starts, since
+/// calls of runs arrive without a pause then and would take every slot until these callers' deadlines. A call
+/// that could no longer end in time leaves instead of running for nothing.
 class slot_queue
 {
 public:
@@ -50,21 +51,29 @@
     /// Returns the arrival of the call that has waited longest; no value when empty.
     std::optional<core::time_point> oldest_arrival() const;
 
+    /// Returns how long a call that is not nested would wait if it were added.
+    /// @param start_interval mean time between two starts while calls wait
+    core::duration expected_wait(const waiting_call& call, core::duration start_interval) const;
+
     std::size_t size() const noexcept { return this->calls.size(); }
     bool empty() const noexcept { return this->calls.empty(); }
 
 private:
-    using rank = std::tuple<bool, int, core::time_point, std::uint64_t>;
+    /// Part of the starts that callers' requests get while nested calls wait too. A fair share of two kinds
+    /// would be a half; nested calls get more, since each stands for work that is lost with it.
+    static constexpr double direct_share = 0.25;
+
+    using rank = std::tuple<int, core::time_point, std::uint64_t>;
     using moment = std::pair<core::time_point, std::uint64_t>;
 
-    static rank rank_of(const waiting_call& call)
-    {
-        return {!call.nested, call.priority, call.arrived, call.key};
-    }
+    static rank rank_of(const waiting_call& call) { return {call.priority, call.arrived, call.key}; }
+    std::set<rank>& ranked(const waiting_call& call) { return call.nested ? this->nested : this->direct; }
     waiting_call take(std::uint64_t key);
 
     std::unordered_map<std::uint64_t, waiting_call> calls;
-    std::set<rank> by_rank;
+    std::set<rank> nested;    ///< Calls of runs.
+    std::set<rank> direct;    ///< Requests of callers.
+    double direct_credit = 0; ///< Starts that callers' requests are owed.
     std::set<moment> by_latest_start;
     std::set<moment> by_arrival;
 };
--- a/packages/sidecar/src/exit_runner.cpp
+++ b/packages/sidecar/src/exit_runner.cpp
@@ -95,6 +95,11 @@
                               .nested = entry.message.nested,
                               .arrived = now,
                               .latest_start = entry.deadline - this->expected_run()};
+    if (!this->can_start_in_time(queued, now))
+    {
+        this->refuse(id, call_reason::queue_full);
+        return id;
+    }
     this->waiting.push(queued);
     if (this->waiting.size() > std::size_t{queue_per_slot} * this->usable_slots())
     {
@@ -104,6 +109,18 @@
     return id;
 }
 
+/// Returns whether a call is expected to get a slot before its latest start. Calls of runs always wait: the
+/// estimate may be wrong, and more would be lost with them.
+bool exit_runner::can_start_in_time(const waiting_call& call, core::time_point now) const
+{
+    if (call.nested || this->running < this->usable_slots())
+    {
+        return true;
+    }
+    const core::duration start_interval = this->expected_run() / this->usable_slots();
+    return now + this->waiting.expected_wait(call, start_interval) <= call.latest_start;
+}
+
 /// Starts waiting calls at the end of this turn of the event loop, so that a withdrawal that arrived
 /// together with its call still prevents the start.
 void exit_runner::post_start()
--- a/packages/sidecar/src/slot_queue.cpp
+++ b/packages/sidecar/src/slot_queue.cpp
@@ -1,6 +1,7 @@
 #include "laburnumreach/sidecar/slot_queue.hpp"
 
 #include <cassert>
+#include <iterator>
 
 namespace laburnumreach::sidecar
 {
@@ -10,7 +11,7 @@
     const bool inserted = this->calls.emplace(call.key, call).second;
     assert(inserted);
     static_cast<void>(inserted);
-    this->by_rank.insert(rank_of(call));
+    this->ranked(call).insert(rank_of(call));
     this->by_latest_start.emplace(call.latest_start, call.key);
     this->by_arrival.emplace(call.arrived, call.key);
 }
@@ -21,7 +22,7 @@
     assert(place != this->calls.end());
     const waiting_call call = place->second;
     this->calls.erase(place);
-    this->by_rank.erase(rank_of(call));
+    this->ranked(call).erase(rank_of(call));
     this->by_latest_start.erase({call.latest_start, key});
     this->by_arrival.erase({call.arrived, key});
     return call;
@@ -29,11 +30,26 @@
 
 std::optional<waiting_call> slot_queue::pop()
 {
-    if (this->by_rank.empty())
+    if (this->calls.empty())
     {
         return std::nullopt;
     }
-    return this->take(std::get<std::uint64_t>(*this->by_rank.begin()));
+    bool from_direct = this->nested.empty();
+    if (!this->nested.empty() && !this->direct.empty())
+    {
+        this->direct_credit += direct_share;
+        from_direct = this->direct_credit >= 1.0;
+        this->direct_credit -= from_direct ? 1.0 : 0.0;
+    }
+    const std::set<rank>& chosen = from_direct ? this->direct : this->nested;
+    return this->take(std::get<std::uint64_t>(*chosen.begin()));
+}
+
+core::duration slot_queue::expected_wait(const waiting_call& call, core::duration start_interval) const
+{
+    const auto ahead = std::distance(this->direct.begin(), this->direct.lower_bound(rank_of(call)));
+    const double starts = static_cast<double>(ahead + 1) / (this->nested.empty() ? 1.0 : direct_share);
+    return std::chrono::duration_cast<core::duration>(start_interval * starts);
 }
 
 std::optional<waiting_call> slot_queue::pop_expired(core::time_point now)
@@ -47,11 +63,12 @@
 
 std::optional<waiting_call> slot_queue::pop_least_important()
 {
-    if (this->by_rank.empty())
+    if (this->calls.empty())
     {
         return std::nullopt;
     }
-    return this->take(std::get<std::uint64_t>(*this->by_rank.rbegin()));
+    const std::set<rank>& chosen = this->direct.empty() ? this->nested : this->direct;
+    return this->take(std::get<std::uint64_t>(*chosen.rbegin()));
 }
 
 bool slot_queue::remove(std::uint64_t key)
--- a/packages/sidecar/tests/policy_test.cpp
+++ b/packages/sidecar/tests/policy_test.cpp
@@ -38,6 +38,8 @@
     CPPUNIT_TEST(expired_call_leaves_instead_of_running);
     CPPUNIT_TEST(full_queue_gives_up_the_newest_of_the_least_important);
     CPPUNIT_TEST(withdrawn_call_never_starts);
+    CPPUNIT_TEST(callers_are_served_while_nested_calls_queue);
+    CPPUNIT_TEST(wait_is_foreseen);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -84,6 +86,51 @@
         CPPUNIT_ASSERT(!queue.pop());
         CPPUNIT_ASSERT(!queue.oldest_arrival());
     }
+
+    /// The last service of racm-sul at its worst: nested calls alone ask for 1.1 times the starts for 10 s,
+    /// and 150 callers a second address the service itself, with 400 ms to wait. 1 start in 1 ms.
+    void callers_are_served_while_nested_calls_queue()
+    {
+        slot_queue queue;
+        std::uint64_t key = 0;
+        int callers = 0;
+        int callers_served = 0;
+        int nested_served = 0;
+        for (int ms = 0; ms < 10'000; ++ms)
+        {
+            queue.push(call(++key, 0, true, std::chrono::milliseconds{ms}));
+            if (ms % 10 == 0)
+            {
+                queue.push(call(++key, 0, true, std::chrono::milliseconds{ms}));
+            }
+            if (ms % 7 == 0)
+            {
+                ++callers;
+                waiting_call direct = call(++key, 1, false, std::chrono::milliseconds{ms});
+                direct.latest_start = direct.arrived + 376ms;
+                queue.push(direct);
+            }
+            while (queue.pop_expired(start + std::chrono::milliseconds{ms}))
+            {
+            }
+            const std::optional<waiting_call> next = queue.pop();
+            callers_served += next->nested ? 0 : 1;
+            nested_served += next->nested ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(callers_served), callers_served > 0.95 * callers);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(nested_served), nested_served > 8'000);
+    }
+
+    void wait_is_foreseen()
+    {
+        slot_queue queue;
+        CPPUNIT_ASSERT(queue.expected_wait(call(1, 1, false), 1ms) == 1ms);
+        queue.push(call(2, 0, false));
+        queue.push(call(3, 2, false));
+        CPPUNIT_ASSERT(queue.expected_wait(call(1, 1, false), 1ms) == 2ms);
+        queue.push(call(4, 0, true));
+        CPPUNIT_ASSERT(queue.expected_wait(call(1, 1, false), 1ms) == 8ms);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(slot_queue_test);
 
