Keep call ratios in the store for daemons that start when none is left

An object of the kind that cannot be read no longer hides the others; the follower logs their number.

--- a/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
@@ -67,8 +67,12 @@
 
     /// Records call ratios that a daemon observed, this one or another; those that it does not name are
     /// unchanged.
+    /// @param daemon_id the daemon, or the source of ratios that were observed before this process started
     void record_ratios(const std::string& daemon_id, std::span<const call_ratio> observed);
 
+    /// Returns the call ratios over all daemons.
+    std::vector<call_ratio> mean_ratios() const;
+
     /// Records the requests that reach a daemon, this one or another; replaces its former report.
     void record_demand(const std::string& daemon_id, std::span<const route_demand> demand,
                        core::time_point now);
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -39,12 +39,18 @@
     /// Hands over the members read from the store. Thread safe.
     void post_members(std::vector<member_record> found);
 
+    /// Hands over call ratios that daemons published in the store before this one started. Thread safe.
+    void post_ratios(std::vector<call_ratio> found);
+
     /// Hands over whether the platform's store works. Thread safe.
     void post_store_works(bool works);
 
     /// Told, several times a second, how this daemon is to follow the store. Set it before run().
     std::function<void(store_duty)> store_duty_changed = [](store_duty) {};
 
+    /// Told, several times a second, the call ratios of the whole fleet. Set it before run().
+    std::function<void(std::vector<call_ratio>)> ratios_measured = [](const std::vector<call_ratio>&) {};
+
     const member_record& own_record() const noexcept { return this->knowledge.own(); }
 
 private:
--- a/packages/sidecar/include/laburnumreach/sidecar/store_follower.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/store_follower.hpp
@@ -3,6 +3,7 @@
 
 #include "laburnumreach/core/error.hpp"
 #include "laburnumreach/core/time.hpp"
+#include "laburnumreach/sidecar/change_report.hpp"
 #include "laburnumreach/sidecar/event_log.hpp"
 #include "laburnumreach/sidecar/peer_messages.hpp"
 #include "laburnumreach/sidecar/store_duty.hpp"
@@ -12,6 +13,7 @@
 #include <functional>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -26,17 +28,30 @@
     std::uint64_t revision = 0; ///< Revision of the store from which changes are awaited.
 };
 
+/// What the store holds of the daemons.
+struct member_listing
+{
+    std::vector<member_record> members;
+    /// Call ratios that daemons published, for daemons that start when none is left to tell them.
+    std::vector<call_ratio> ratios;
+    std::size_t unreadable = 0; ///< Objects of which a part could not be read.
+};
+
 /// The platform's store as the sidecar uses it. Calls block.
 template <typename Store>
 concept fleet_store = requires(Store store, const member_record& record, std::uint64_t revision,
-                               std::chrono::milliseconds wait, bool may_be_old)
+                               std::chrono::milliseconds wait, bool may_be_old,
+                               std::span<const call_ratio> ratios)
 {
     {
         store.announce(record)
         } -> std::same_as<core::result<bool>>;
+    {
+        store.publish_ratios(record.daemon_id, ratios)
+        } -> std::same_as<core::result<bool>>;
     {
         store.list_members(may_be_old)
-        } -> std::same_as<core::result<std::vector<member_record>>>;
+        } -> std::same_as<core::result<member_listing>>;
     {
         store.read_config()
         } -> std::same_as<core::result<stored_config>>;
@@ -51,6 +66,8 @@
 {
     std::function<void(stored_config)> config;
     std::function<void(std::vector<member_record>)> members;
+    /// Told what the first list holds, before the members.
+    std::function<void(std::vector<call_ratio>)> ratios;
     /// Told when the store begins or ceases to work.
     std::function<void(bool works)> store_works;
 };
@@ -117,6 +134,13 @@
         }
     }
 
+    /// Sets the call ratios to publish while this daemon leads. Any thread may call it.
+    void set_ratios(std::vector<call_ratio> current)
+    {
+        const std::lock_guard lock{this->mutex};
+        this->ratios = std::move(current);
+    }
+
     /// Returns whether all that is done once at the start is done.
     bool started() const { return this->revision && this->announced && this->listed; }
 
@@ -145,15 +169,12 @@
         const core::time_point now = core::boot_clock::now();
         if (!this->listed || now - *this->listed > list_interval)
         {
-            const bool repairs = this->listed.has_value();
-            auto members = this->store.list_members(repairs);
-            if (!members)
-            {
-                return this->note(members.error().message);
-            }
-            this->listed = now;
-            this->hooks.members(std::move(*members));
-            return this->note({});
+            return this->note(this->list(now));
+        }
+        if (this->leads() && now - this->published > publish_interval && this->must_publish())
+        {
+            this->published = now;
+            return this->note(this->publish());
         }
         return this->note(this->await());
     }
@@ -162,6 +183,11 @@
     /// Time between two lists of the members; daemons learn of new ones from them directly, the list only
     /// repairs what a partition kept apart.
     static constexpr core::duration list_interval = std::chrono::seconds{10};
+    /// Least time between two writes of the call ratios; they change with the configuration, seldom
+    /// otherwise.
+    static constexpr core::duration publish_interval = std::chrono::seconds{5};
+    /// Calls per run below which a ratio counts as none.
+    static constexpr double least_ratio = 0.05;
     /// Pause after the first failed call; each further failure doubles it.
     static constexpr std::chrono::milliseconds first_pause{250};
     /// Longest pause of a leading daemon. With the spread to its peers it stays within the time in which a
@@ -194,6 +220,53 @@
         this->wake.wait(lock, [this] { return this->stopping || this->duty != store_duty::none; });
     }
 
+    /// @returns the cause of a failure, or an empty text
+    std::string list(core::time_point now)
+    {
+        const bool repairs = this->listed.has_value();
+        auto found = this->store.list_members(repairs);
+        if (!found)
+        {
+            return found.error().message;
+        }
+        if (found->unreadable > 0)
+        {
+            this->events.state_event("member_records_unreadable",
+                                     {{"count", std::to_string(found->unreadable)}});
+        }
+        if (!repairs)
+        {
+            this->hooks.ratios(std::move(found->ratios));
+        }
+        this->listed = now;
+        this->hooks.members(std::move(found->members));
+        return {};
+    }
+
+    /// Returns whether call ratios moved since they were published.
+    bool must_publish()
+    {
+        const std::lock_guard lock{this->mutex};
+        return !this->ratios_told.changes(this->ratios).empty();
+    }
+
+    /// @returns the cause of a failure, or an empty text
+    std::string publish()
+    {
+        std::vector<call_ratio> current;
+        {
+            const std::lock_guard lock{this->mutex};
+            current = this->ratios;
+        }
+        const auto written = this->store.publish_ratios(this->own.daemon_id, current);
+        if (!written)
+        {
+            this->ratios_told.reset();
+            return written.error().message;
+        }
+        return {};
+    }
+
     std::string await()
     {
         auto change = this->store.await_config(*this->revision, this->leads() ? leading_wait : longest_wait);
@@ -247,6 +320,9 @@
     std::condition_variable wake;
     std::optional<std::uint64_t> revision;
     std::optional<core::time_point> listed;
+    std::vector<call_ratio> ratios; ///< Guarded by the mutex.
+    change_report<call_ratio> ratios_told{least_ratio};
+    core::time_point published{};
     std::atomic<store_duty> duty{store_duty::none};
     int failures = 0; ///< In a row.
     bool announced = false;
--- a/packages/sidecar/src/load_shedder.cpp
+++ b/packages/sidecar/src/load_shedder.cpp
@@ -88,6 +88,19 @@
     }
 }
 
+std::vector<call_ratio> load_shedder::mean_ratios() const
+{
+    std::vector<call_ratio> found;
+    for (const auto& [parent, children] : this->ratios)
+    {
+        for (const auto& [child, calls] : children)
+        {
+            found.push_back({.parent_route = parent, .child_route = child, .calls_per_run = calls});
+        }
+    }
+    return found;
+}
+
 void load_shedder::add_visits(const std::string& route_name, double factor, int depth, visits& total) const
 {
     const auto places = this->destinations.find(route_name);
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -311,6 +311,7 @@
     this->router.set_reports_zone(leads);
     this->knowledge.set_repairs_zones(leads);
     this->store_duty_changed(duty);
+    this->ratios_measured(this->router.shedder().mean_ratios());
 }
 
 /// Tells the daemons of the own zone of a configuration at once, since they do not follow the store.
@@ -371,6 +372,12 @@
                { this->knowledge.offer_config(found.version, found.document); });
 }
 
+void sidecar_daemon::post_ratios(std::vector<call_ratio> found)
+{
+    asio::post(this->io,
+               [this, found = std::move(found)] { this->router.shedder().record_ratios("store", found); });
+}
+
 void sidecar_daemon::post_store_works(bool works)
 {
     asio::post(this->io, [this, works] { this->store_works = works; });
--- a/packages/sidecar/tests/store_follower_test.cpp
+++ b/packages/sidecar/tests/store_follower_test.cpp
@@ -22,10 +22,16 @@
         return true;
     }
 
-    core::result<std::vector<member_record>> list_members(bool may_be_old)
+    core::result<bool> publish_ratios(const std::string&, std::span<const call_ratio> ratios)
+    {
+        this->published.emplace_back(ratios.begin(), ratios.end());
+        return true;
+    }
+
+    core::result<member_listing> list_members(bool may_be_old)
     {
         this->lists.push_back(may_be_old);
-        return std::vector<member_record>{};
+        return member_listing{.members = {}, .ratios = {{"parent", "child", 2.0}}};
     }
 
     core::result<stored_config> read_config()
@@ -80,6 +86,7 @@
     std::optional<stored_config> change;
     int announced = 0;
     std::vector<bool> lists;
+    std::vector<std::vector<call_ratio>> published;
     std::uint64_t awaited = 0;
     std::chrono::milliseconds waited{};
 };
@@ -98,6 +105,7 @@
     CPPUNIT_TEST(stop_ends_a_call_that_missed_the_interruption);
     CPPUNIT_TEST(daemon_without_a_duty_calls_only_at_its_start);
     CPPUNIT_TEST(state_of_the_store_is_told_when_it_changes);
+    CPPUNIT_TEST(call_ratios_survive_the_loss_of_all_daemons);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -212,6 +220,23 @@
         CPPUNIT_ASSERT(this->states == (std::vector<bool>{true, false, true}));
     }
 
+    /// After all daemons lost power, requests were admitted for two seconds as if they made no calls.
+    void call_ratios_survive_the_loss_of_all_daemons()
+    {
+        this->follower.set_ratios({{"parent", "child", 3.0}});
+        this->start();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->ratios.size());
+        CPPUNIT_ASSERT_EQUAL(2.0, this->ratios.front().calls_per_run);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->store.published.size());
+        CPPUNIT_ASSERT_EQUAL(3.0, this->store.published.front().front().calls_per_run);
+        // What has not moved is not written again, nor is anything by a daemon that does not lead.
+        this->follower.step();
+        this->follower.set_duty(store_duty::stand_in);
+        this->follower.set_ratios({{"parent", "child", 30.0}});
+        this->follower.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->store.published.size());
+    }
+
 private:
     /// Brings the follower to its first wait.
     void start()
@@ -227,12 +252,14 @@
     event_log events{"d"};
     std::vector<stored_config> configs;
     std::vector<bool> states;
+    std::vector<call_ratio> ratios;
     std::atomic<bool> listed{false};
     store_follower<fake_store> follower{
         store,
         {.daemon_id = "d"},
         {.config = [this](stored_config found) { this->configs.push_back(std::move(found)); },
          .members = [this](const std::vector<member_record>&) { this->listed = true; },
+         .ratios = [this](std::vector<call_ratio> found) { this->ratios = std::move(found); },
          .store_works = [this](bool works) { this->states.push_back(works); }},
         events};
 };
