Add a fault soak of the sidecar

Real sidecars run as separate processes on loopback with stand-ins of the users' store, instances and callers; proxies on every link delay, hold, silence and reset, and processes are stopped, paused, killed and reloaded. A judge with tests of its own checks the promises from what callers and instances see.

The sidecar can announce another address than it listens on, which the proxies need; addresses in its settings are checked to be IP numbers. child_process moves out of the capacity bench, which shares it with the soak.

--- a/packages/bench/capacity/src/call_part.cpp
+++ b/packages/bench/capacity/src/call_part.cpp
@@ -72,11 +72,11 @@
     for (int round = 0; round < rounds; ++round)
     {
         const closed_loop_result without = run_closed_loop(direct);
-        const process_usage entry_before = fleet.processes()[0].usage();
-        const process_usage exit_before = fleet.processes()[1].usage();
+        const process::process_usage entry_before = fleet.processes()[0].usage();
+        const process::process_usage exit_before = fleet.processes()[1].usage();
         const closed_loop_result with = run_closed_loop(through);
-        const process_usage entry_after = fleet.processes()[0].usage();
-        const process_usage exit_after = fleet.processes()[1].usage();
+        const process::process_usage entry_after = fleet.processes()[0].usage();
+        const process::process_usage exit_after = fleet.processes()[1].usage();
         // The control thread is counted apart: its cost does not follow the number of calls.
         entry_control += entry_after.control_seconds - entry_before.control_seconds;
         exit_control += exit_after.control_seconds - exit_before.control_seconds;
@@ -197,7 +197,7 @@
     {
         connections.grow_to(count);
         std::this_thread::sleep_for(std::chrono::milliseconds{500});
-        const process_usage used = fleet.processes()[0].usage();
+        const process::process_usage used = fleet.processes()[0].usage();
         result.push_back({{"connections", count},
                           {"answered", connections.answered_count()},
                           {"resident_mb", used.resident_mb},
--- a/packages/bench/capacity/src/capacity_bench.cpp
+++ b/packages/bench/capacity/src/capacity_bench.cpp
@@ -1,4 +1,4 @@
-#include "child_process.hpp"
+#include "laburnumreach/process/child_process.hpp"
 #include "parts.hpp"
 
 #include <CLI/CLI.hpp>
@@ -36,7 +36,7 @@
     app.add_option("--members", options.member_counts, "members in virtual time, ascending; repeatable");
     CLI11_PARSE(app, argc, argv);
 
-    child_process::end_all_on_signals();
+    laburnumreach::process::child_process::end_all_on_signals();
     using part_function = nlohmann::json (*)(const bench_options&);
     const std::map<std::string, part_function> known{{"gossip", measure_gossip},
                                                      {"quota", measure_quota},
--- a/packages/bench/capacity/src/daemon_fleet.hpp
+++ b/packages/bench/capacity/src/daemon_fleet.hpp
@@ -1,7 +1,7 @@
 #ifndef LABURNUMREACH_CAPACITY_BENCH_DAEMON_FLEET_HPP
 #define LABURNUMREACH_CAPACITY_BENCH_DAEMON_FLEET_HPP
 
-#include "child_process.hpp"
+#include "laburnumreach/process/child_process.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -67,7 +67,7 @@
     /// Returns the number of daemons that have the last configuration in force, as /status shows it.
     std::size_t daemons_in_force() const;
 
-    const std::vector<child_process>& processes() const noexcept { return this->daemons; }
+    const std::vector<process::child_process>& processes() const noexcept { return this->daemons; }
     std::uint16_t caller_port(std::size_t daemon) const { return this->port(daemon, 0); }
 
 private:
@@ -77,8 +77,8 @@
 
     daemon_fleet_options options;
     std::uint64_t last_revision = 0;
-    std::vector<child_process> helpers;
-    std::vector<child_process> daemons;
+    std::vector<process::child_process> helpers;
+    std::vector<process::child_process> daemons;
 };
 
 } // namespace laburnumreach::capacity_bench
--- a/packages/bench/capacity/src/fleet_part.cpp
+++ b/packages/bench/capacity/src/fleet_part.cpp
@@ -18,7 +18,7 @@
 /// Sums over all daemons of a fleet.
 struct fleet_totals
 {
-    process_usage usage;
+    process::process_usage usage;
     double bytes_sent = 0.0;
     double bytes_received = 0.0;
     double messages_sent = 0.0;
@@ -38,9 +38,9 @@
         totals.bytes_received += shown.value("control_bytes_received", 0.0);
         totals.messages_sent += shown.value("control_messages_sent", 0.0);
     }
-    for (const child_process& daemon : fleet.processes())
+    for (const process::child_process& daemon : fleet.processes())
     {
-        const process_usage used = daemon.usage();
+        const process::process_usage used = daemon.usage();
         totals.usage.control_seconds += used.control_seconds;
         totals.usage.total_seconds += used.total_seconds;
         totals.usage.resident_mb += used.resident_mb;
--- a/packages/bench/capacity/src/child_process.hpp
+++ b/packages/bench/process/include/laburnumreach/process/child_process.hpp
@@ -1,12 +1,13 @@
-#ifndef LABURNUMREACH_CAPACITY_BENCH_CHILD_PROCESS_HPP
-#define LABURNUMREACH_CAPACITY_BENCH_CHILD_PROCESS_HPP
+#ifndef LABURNUMREACH_PROCESS_CHILD_PROCESS_HPP
+#define LABURNUMREACH_PROCESS_CHILD_PROCESS_HPP
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
 
-namespace laburnumreach::capacity_bench
+namespace laburnumreach::process
 {
 
 /// What a process has used so far.
@@ -22,7 +23,8 @@
 class child_process
 {
 public:
-    /// @param log_path receives the standard output and error
+    /// @param log_path receives the standard output and error, after what it holds already
+    /// @throws std::runtime_error when the program cannot be started
     child_process(const std::vector<std::string>& command, const std::string& log_path);
     child_process(child_process&& other) noexcept;
     child_process& operator=(child_process&&) = delete;
@@ -33,6 +35,16 @@
     /// Ends all children on SIGTERM and SIGINT, so that a bench that is cut off leaves no daemons behind.
     static void end_all_on_signals();
 
+    /// Sends a signal, unless the process has ended.
+    void signal(int number) const;
+
+    /// Checks whether the process has ended since the last call.
+    /// @returns its wait status
+    std::optional<int> take_end();
+
+    /// Returns whether the end of the process was not taken yet.
+    bool running() const noexcept { return this->pid > 0; }
+
     /// Reads processor time, resident memory and thread count from /proc.
     process_usage usage() const;
 
@@ -40,6 +52,6 @@
     pid_t pid = -1;
 };
 
-} // namespace laburnumreach::capacity_bench
+} // namespace laburnumreach::process
 
 #endif
--- a/packages/bench/capacity/src/child_process.cpp
+++ b/packages/bench/process/src/child_process.cpp
@@ -1,4 +1,4 @@
-#include "child_process.hpp"
+#include "laburnumreach/process/child_process.hpp"
 
 #include <array>
 #include <atomic>
@@ -12,7 +12,7 @@
 #include <unistd.h>
 #include <utility>
 
-namespace laburnumreach::capacity_bench
+namespace laburnumreach::process
 {
 
 namespace
@@ -51,6 +51,7 @@
 {
     std::signal(SIGTERM, end_children);
     std::signal(SIGINT, end_children);
+    std::signal(SIGABRT, end_children); // An uncaught exception ends the bench this way.
 }
 
 child_process::child_process(const std::vector<std::string>& command, const std::string& log_path)
@@ -66,7 +67,7 @@
     posix_spawn_file_actions_t actions;
     ::posix_spawn_file_actions_init(&actions);
     ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path.c_str(),
-                                       O_WRONLY | O_CREAT | O_TRUNC, 0644);
+                                       O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     const int status = ::posix_spawn(&this->pid, arguments[0], &actions, nullptr, arguments.data(), environ);
     ::posix_spawn_file_actions_destroy(&actions);
@@ -89,6 +90,26 @@
     }
 }
 
+void child_process::signal(int number) const
+{
+    if (this->running())
+    {
+        ::kill(this->pid, number);
+    }
+}
+
+std::optional<int> child_process::take_end()
+{
+    int status = 0;
+    if (!this->running() || ::waitpid(this->pid, &status, WNOHANG) != this->pid)
+    {
+        return std::nullopt;
+    }
+    replace_running(this->pid, 0);
+    this->pid = -1;
+    return status;
+}
+
 process_usage child_process::usage() const
 {
     process_usage result;
@@ -111,4 +132,4 @@
     return result;
 }
 
-} // namespace laburnumreach::capacity_bench
+} // namespace laburnumreach::process
--- /dev/null
+++ b/packages/bench/soak/app/soak.cpp
@@ -0,0 +1,88 @@
+#include "soak_run.hpp"
+
+#include "laburnumreach/process/child_process.hpp"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+#include <random>
+
+namespace
+{
+
+namespace soak = laburnumreach::soak;
+
+/// Plays one seed and prints its verdict.
+/// @returns whether no promise was broken
+bool play_seed(soak::soak_options options)
+{
+    options.directory /= "seed-" + std::to_string(options.seed);
+    std::filesystem::remove_all(options.directory);
+    soak::soak_run run{options};
+    const std::vector<std::string> broken = run.play();
+    std::cout << "seed " << options.seed << (broken.empty() ? " kept: " : " BROKEN: ") << run.summary()
+              << '\n';
+    for (const std::string& what : broken)
+    {
+        std::cout << "  " << what << '\n';
+    }
+    std::cout.flush();
+    if (broken.empty())
+    {
+        std::filesystem::remove_all(options.directory);
+    }
+    return broken.empty();
+}
+
+} // namespace
+
+/// Fault soak of the sidecar: real processes on loopback, faults from outside, promises checked from callers
+/// and instances.
+int main(int argc, char** argv)
+{
+    CLI::App app{"fault soak of laburnumreach-sidecar"};
+    soak::soak_options options{.program = {}, .directory = "soak-out"};
+    std::vector<std::uint64_t> seeds;
+    std::size_t count = 0;
+    double minutes = 0;
+    app.add_option("--program", options.program, "the sidecar program")->required()->check(CLI::ExistingFile);
+    app.add_option("--logs", options.directory, "directory for settings and logs of failed seeds");
+    app.add_option("--seed", seeds, "seeds to play");
+    app.add_option("--seeds", count, "number of further seeds, from the last --seed on, or from 1");
+    app.add_option("--minutes", minutes, "play fresh seeds for so long");
+    app.add_option("--run", options.run, "loopback network 127.RUN.0.0; differs for soaks beside each other")
+        ->check(CLI::Range(1, 254));
+    app.add_option("--zones", options.zones, "availability zones")->check(CLI::Range(1, 10));
+    app.add_option("--vms-per-zone", options.vms_per_zone, "VMs in each zone")->check(CLI::Range(2, 25));
+    app.add_option("--faults", options.faults, "faults in each run");
+    CLI11_PARSE(app, argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);
+    laburnumreach::process::child_process::end_all_on_signals();
+    const std::uint64_t first = seeds.empty() ? 1 : seeds.back() + 1;
+    for (std::uint64_t seed = first; seed < first + count; ++seed)
+    {
+        seeds.push_back(seed);
+    }
+    std::size_t played = 0;
+    std::size_t failed = 0;
+    const auto play = [&](std::uint64_t seed)
+    {
+        options.seed = seed;
+        ++played;
+        failed += play_seed(options) ? 0 : 1;
+    };
+    for (const std::uint64_t seed : seeds)
+    {
+        play(seed);
+    }
+    std::random_device fresh;
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+                                               std::chrono::duration<double, std::ratio<60>>{minutes});
+    while (std::chrono::steady_clock::now() < end)
+    {
+        play(fresh());
+    }
+    std::cout << "soak: " << played << " seeds played, " << failed << " with a broken promise\n";
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/packages/bench/soak/src/caller_connection.hpp
@@ -0,0 +1,69 @@
+#ifndef LABURNUMREACH_SOAK_CALLER_CONNECTION_HPP
+#define LABURNUMREACH_SOAK_CALLER_CONNECTION_HPP
+
+#include "laburnumreach/http/body_decoder.hpp"
+#include "laburnumreach/http/message_head.hpp"
+#include "laburnumreach/sidecar/asio.hpp"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace laburnumreach::soak
+{
+
+namespace asio = sidecar::asio;
+using sidecar::error_code;
+using sidecar::tcp;
+
+/// An answer as a caller sees it; no head when the connection ended before a whole answer.
+struct caller_answer
+{
+    std::optional<http::response_head> head;
+    std::string body;
+    bool refused = false; ///< No connection could be opened, so nothing was sent.
+};
+
+/// A caller's connection, kept for many requests, one at a time. It takes what comes: an answer to another
+/// request must be noticed, not skipped.
+class caller_connection : public std::enable_shared_from_this<caller_connection>
+{
+public:
+    using handler = std::function<void(caller_answer)>;
+
+    caller_connection(asio::io_context& io, const tcp::endpoint& address) : socket(io), target(address) {}
+
+    /// Sends a request and waits for its answer. Only when idle.
+    void send(std::string request, handler done);
+
+    /// Closes the connection; the handler is not called.
+    void close();
+
+    /// Returns whether a request has no answer yet.
+    bool waiting() const { return static_cast<bool>(this->on_answer); }
+
+    /// Returns whether another request can be sent.
+    bool idle() const { return this->open && !this->on_answer; }
+
+private:
+    void write();
+    void read();
+    void parse(bool closed);
+    void finish(bool whole);
+
+    tcp::socket socket;
+    tcp::endpoint target;
+    std::string request_bytes;
+    std::string received;
+    std::array<char, 16 * 1024> chunk{};
+    handler on_answer;
+    caller_answer answer;
+    std::optional<http::body_decoder> decoder;
+    bool open = false;
+};
+
+} // namespace laburnumreach::soak
+
+#endif
--- /dev/null
+++ b/packages/bench/soak/src/fault_proxy.cpp
@@ -0,0 +1,163 @@
+#include "fault_proxy.hpp"
+
+#include <array>
+
+namespace laburnumreach::soak
+{
+
+/// A connection and its continuation to the target.
+class fault_proxy::connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(asio::io_context& io, tcp::socket accepted, std::shared_ptr<const link_fault> active)
+        : fault(std::move(active)),
+          caller{.socket = std::move(accepted), .timer = asio::steady_timer{io}},
+          target{.socket = tcp::socket{io}, .timer = asio::steady_timer{io}}
+    {
+    }
+
+    void start(const tcp::endpoint& address)
+    {
+        this->target.socket.async_connect(address,
+                                          [self = this->shared_from_this()](const error_code& failed)
+                                          {
+                                              if (failed)
+                                              {
+                                                  self->reset();
+                                                  return;
+                                              }
+                                              self->read(self->caller, self->target);
+                                              self->read(self->target, self->caller);
+                                          });
+    }
+
+    void reset()
+    {
+        for (side* each : {&this->caller, &this->target})
+        {
+            error_code ignored; // The socket may be closed already.
+            each->socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+            each->socket.close(ignored);
+            each->timer.cancel();
+        }
+    }
+
+    void silence() { this->silent = true; }
+
+private:
+    /// One end, with the bytes read from it last.
+    struct side
+    {
+        tcp::socket socket;
+        asio::steady_timer timer;
+        std::array<char, 16 * 1024> bytes{};
+        std::size_t size = 0;
+    };
+
+    void read(side& from, side& to)
+    {
+        from.socket.async_read_some(
+            asio::buffer(from.bytes),
+            [self = this->shared_from_this(), &from, &to](const error_code& failed, std::size_t size)
+            {
+                if (failed == asio::error::eof)
+                {
+                    error_code ignored; // The other end may be gone too.
+                    to.socket.shutdown(tcp::socket::shutdown_send, ignored);
+                }
+                else if (failed)
+                {
+                    self->reset();
+                }
+                else
+                {
+                    from.size = size;
+                    self->wait(from, to, self->fault->delay);
+                }
+            });
+    }
+
+    void wait(side& from, side& to, core::duration time)
+    {
+        const bool held = &from == &this->caller ? this->fault->hold_requests : this->fault->hold_responses;
+        constexpr core::duration hold_check = std::chrono::milliseconds{20};
+        if (!held && !this->silent && time <= core::duration{})
+        {
+            this->write(from, to);
+            return;
+        }
+        from.timer.expires_after(std::max(time, hold_check));
+        from.timer.async_wait(
+            [self = this->shared_from_this(), &from, &to](const error_code& cancelled)
+            {
+                if (!cancelled)
+                {
+                    self->wait(from, to, {});
+                }
+            });
+    }
+
+    void write(side& from, side& to)
+    {
+        asio::async_write(to.socket, asio::buffer(from.bytes.data(), from.size),
+                          [self = this->shared_from_this(), &from, &to](const error_code& failed, std::size_t)
+                          {
+                              if (failed)
+                              {
+                                  self->reset();
+                                  return;
+                              }
+                              self->read(from, to);
+                          });
+    }
+
+    std::shared_ptr<const link_fault> fault;
+    side caller;
+    side target;
+    bool silent = false;
+};
+
+fault_proxy::fault_proxy(asio::io_context& context, const config::endpoint& address,
+                         const config::endpoint& target)
+    : io(context),
+      target_address(sidecar::make_endpoint(target.address, target.port)),
+      listener(context, address, [this](tcp::socket socket) { this->accept(std::move(socket)); })
+{
+}
+
+void fault_proxy::accept(tcp::socket socket)
+{
+    this->connections.remove_if([](const auto& weak) { return weak.expired(); });
+    const auto accepted = std::make_shared<connection>(this->io, std::move(socket), this->fault);
+    if (this->fault->refuse)
+    {
+        accepted->reset();
+        return;
+    }
+    this->connections.push_back(accepted);
+    accepted->start(this->target_address);
+}
+
+void fault_proxy::reset()
+{
+    for (const auto& weak : this->connections)
+    {
+        if (const auto open = weak.lock())
+        {
+            open->reset();
+        }
+    }
+}
+
+void fault_proxy::silence()
+{
+    for (const auto& weak : this->connections)
+    {
+        if (const auto open = weak.lock())
+        {
+            open->silence();
+        }
+    }
+}
+
+} // namespace laburnumreach::soak
--- /dev/null
+++ b/packages/bench/soak/src/instance_standin.cpp
@@ -0,0 +1,215 @@
+#include "instance_standin.hpp"
+
+#include <cassert>
+#include <nlohmann/json.hpp>
+
+namespace laburnumreach::soak
+{
+
+namespace
+{
+
+constexpr const char* attempt_field = "Laburnumreach-Attempt-Id";
+constexpr const char* expected_field = "Laburnumreach-Expected-Instance";
+constexpr core::duration heartbeat_interval = std::chrono::milliseconds{500};
+/// Time for the acknowledgement of a heartbeat.
+constexpr core::duration acknowledge_limit = std::chrono::seconds{1};
+/// Time from the notice that the instance leaves to its end.
+constexpr core::duration leave_time = std::chrono::seconds{3};
+
+constexpr int ok = 200;
+constexpr int misdirected = 421;
+constexpr int failed = 500;
+constexpr int unavailable = 503;
+
+std::uint64_t wall_clock_ms()
+{
+    using namespace std::chrono;
+    const auto now = duration_cast<milliseconds>(system_clock::now().time_since_epoch());
+    return static_cast<std::uint64_t>(now.count());
+}
+
+} // namespace
+
+instance_standin::instance_standin(asio::io_context& context, options chosen, judge& judging,
+                                   std::uint64_t seed)
+    : io(context),
+      settings(std::move(chosen)),
+      checks(judging),
+      random(seed),
+      listener(context, this->settings.listen,
+               sidecar::server_context{.handle = [this](const request& call) { this->handle(call); },
+                                       .limits = [] { return sidecar::caller_limits{}; }})
+{
+    this->restart();
+}
+
+void instance_standin::restart()
+{
+    this->born_ms = wall_clock_ms();
+    this->instance_id = "i-" + std::to_string(this->settings.daemon) + '-' + std::to_string(this->born_ms);
+    this->sequence = 0;
+    this->draining = false;
+    this->leave_acknowledged.reset();
+    this->next_heartbeat = {};
+}
+
+void instance_standin::begin_replacement(core::time_point now)
+{
+    this->draining = true;
+    this->next_heartbeat = {};
+    this->restart_at = now + leave_time;
+}
+
+void instance_standin::tick(core::time_point now)
+{
+    if (this->draining && now > this->restart_at)
+    {
+        this->restart();
+    }
+    if (this->heartbeats != nullptr && now > this->heartbeat_limit)
+    {
+        this->heartbeats->close();
+        this->heartbeats = nullptr;
+    }
+    if (now > this->next_heartbeat && this->heartbeats == nullptr)
+    {
+        this->next_heartbeat = now + heartbeat_interval;
+        this->heartbeat_limit = now + acknowledge_limit;
+        this->send_heartbeat();
+    }
+    this->listener.check_timeouts(now);
+}
+
+void instance_standin::send_heartbeat()
+{
+    const nlohmann::json body{{"address", this->settings.announced_address},
+                              {"born", this->born_ms},
+                              {"info",
+                               {{"service", this->settings.service},
+                                {"version", "v1"},
+                                {"zone", this->settings.zone},
+                                {"capacity", this->settings.slots}}},
+                              {"status",
+                               {{"state", this->draining ? "draining" : "ready"},
+                                {"sequence", ++this->sequence},
+                                {"warmupLeftS", 0}}}};
+    const std::string text = body.dump();
+    this->heartbeats = std::make_shared<caller_connection>(this->io, this->settings.control);
+    this->heartbeats->send(
+        "POST /v1/Instances.Heartbeat/" + this->instance_id +
+            " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n"
+            "Connection: close\r\nContent-Length: " +
+            std::to_string(text.size()) + "\r\n\r\n" + text,
+        [this, leaving = this->draining, id = this->instance_id](const caller_answer& answer)
+        {
+            this->heartbeats = nullptr;
+            if (answer.head && answer.head->status == ok && leaving && id == this->instance_id &&
+                !this->leave_acknowledged)
+            {
+                this->leave_acknowledged = core::boot_clock::now();
+            }
+        });
+}
+
+void instance_standin::handle(const request& call)
+{
+    const std::string id{http::find_header(call->head.headers, attempt_field)};
+    if (id.empty())
+    {
+        call->respond({.status = ok,
+                       .fields = "Laburnumreach-Instance-Id: " + this->instance_id + "\r\n",
+                       .body = {},
+                       .close = false});
+        return;
+    }
+    const std::string_view expected = http::find_header(call->head.headers, expected_field);
+    const std::string echo = std::string{attempt_field} + ": " + id + "\r\n";
+    if (!expected.empty() && expected != this->instance_id)
+    {
+        call->respond({.status = misdirected, .fields = echo, .body = {}, .close = false});
+        return;
+    }
+    if (this->running >= this->settings.slots)
+    {
+        call->respond({.status = unavailable,
+                       .fields = echo + "Laburnumreach-Not-Executed: 1\r\n",
+                       .body = {},
+                       .close = false});
+        return;
+    }
+    if (this->leave_acknowledged)
+    {
+        this->checks.on_work_while_leaving(id, core::boot_clock::now() - *this->leave_acknowledged);
+    }
+    this->run(call, id);
+}
+
+void instance_standin::run(const request& call, const std::string& id)
+{
+    ++this->running;
+    this->checks.on_run(id, call->head.headers, core::boot_clock::now());
+    constexpr std::uint64_t least_work_ms = 5;
+    constexpr std::uint64_t spread_work_ms = 60;
+    const std::chrono::milliseconds work{least_work_ms + this->random.below(spread_work_ms)};
+    const auto timer = std::make_shared<asio::steady_timer>(this->io, work);
+    timer->async_wait(
+        [this, call, id, timer](const error_code&)
+        {
+            if (call->head.target.starts_with("/chain/"))
+            {
+                this->call_back(call, id);
+                return;
+            }
+            this->finish(call, id, ok);
+        });
+}
+
+/// Makes the call of a chained run through the own sidecar.
+void instance_standin::call_back(const request& call, const std::string& id)
+{
+    const std::string nested_id = id + ".1";
+    const core::time_point now = core::boot_clock::now();
+    constexpr std::chrono::milliseconds nested_deadline{1000};
+    this->checks.on_sent({.id = nested_id,
+                          .customer = {},
+                          .caller_service = this->settings.service,
+                          .daemon = this->settings.daemon,
+                          .idempotent = true,
+                          .sent = now,
+                          .deadline = now + nested_deadline});
+    const auto connection = std::make_shared<caller_connection>(this->io, this->settings.outbound);
+    const auto limit = std::make_shared<asio::steady_timer>(this->io, nested_deadline);
+    connection->send(
+        "GET /leaf/1 HTTP/1.1\r\nHost: soak.example\r\n" + std::string{attempt_field} + ": " + nested_id +
+            "\r\nLaburnumreach-Deadline-Ms: " + std::to_string(nested_deadline.count()) + "\r\n\r\n",
+        [this, call, id, limit](const caller_answer& answer)
+        {
+            limit->cancel();
+            const bool served = answer.head && answer.head->status == ok;
+            this->finish(call, id, served ? ok : failed);
+        });
+    limit->async_wait(
+        [this, call, id, connection](const error_code& cancelled)
+        {
+            // The timer may have expired together with the answer.
+            if (!cancelled && connection->waiting())
+            {
+                connection->close();
+                this->finish(call, id, failed);
+            }
+        });
+}
+
+void instance_standin::finish(const request& call, const std::string& id, int status)
+{
+    assert(this->running > 0);
+    --this->running;
+    call->respond(
+        {.status = status,
+         .fields = std::string{attempt_field} + ": " + id + "\r\nLaburnumreach-Server-Signature: soak\r\n",
+         .body = status == ok ? judge::body_for(id) : "failed",
+         .close = false});
+}
+
+} // namespace laburnumreach::soak
--- /dev/null
+++ b/packages/bench/soak/src/instance_standin.hpp
@@ -0,0 +1,71 @@
+#ifndef LABURNUMREACH_SOAK_INSTANCE_STANDIN_HPP
+#define LABURNUMREACH_SOAK_INSTANCE_STANDIN_HPP
+
+#include "caller_connection.hpp"
+#include "judge.hpp"
+
+#include "laburnumreach/core/random_source.hpp"
+#include "laburnumreach/sidecar/http_listener.hpp"
+
+#include <memory>
+#include <optional>
+
+namespace laburnumreach::soak
+{
+
+/// An instance of a service, as far as its sidecar sees it. Belongs to one event loop.
+class instance_standin
+{
+public:
+    /// Settings of an instance.
+    struct options
+    {
+        std::string service;
+        std::string zone;
+        config::endpoint listen;
+        std::string announced_address; ///< Where its sidecar reaches it.
+        tcp::endpoint control;         ///< Of its sidecar.
+        tcp::endpoint outbound;        ///< Of its sidecar.
+        std::size_t daemon = 0;
+        std::uint32_t slots = 20;
+    };
+
+    instance_standin(asio::io_context& context, options chosen, judge& checks, std::uint64_t seed);
+
+    /// Announces that it leaves, and starts anew under another id some seconds later.
+    void begin_replacement(core::time_point now);
+
+    /// Sends heartbeats and ends connections. Call it every few milliseconds.
+    void tick(core::time_point now);
+
+private:
+    using request = std::shared_ptr<sidecar::exchange>;
+
+    void handle(const request& call);
+    void run(const request& call, const std::string& id);
+    void finish(const request& call, const std::string& id, int status);
+    void call_back(const request& call, const std::string& id);
+    void send_heartbeat();
+    void restart();
+
+    asio::io_context& io;
+    options settings;
+    judge& checks;
+    core::random_source random;
+    std::shared_ptr<caller_connection> heartbeats;
+    std::shared_ptr<caller_connection> nested;
+    std::string instance_id;
+    std::uint64_t born_ms = 0;
+    std::uint64_t sequence = 0;
+    std::uint32_t running = 0;
+    bool draining = false;
+    std::optional<core::time_point> leave_acknowledged;
+    core::time_point next_heartbeat{};
+    core::time_point heartbeat_limit{};
+    core::time_point restart_at{};
+    sidecar::http_listener listener;
+};
+
+} // namespace laburnumreach::soak
+
+#endif
--- /dev/null
+++ b/packages/bench/soak/src/soak_vm.hpp
@@ -0,0 +1,82 @@
+#ifndef LABURNUMREACH_SOAK_SOAK_VM_HPP
+#define LABURNUMREACH_SOAK_SOAK_VM_HPP
+
+#include "fault_proxy.hpp"
+#include "instance_standin.hpp"
+
+#include "laburnumreach/process/child_process.hpp"
+
+#include <filesystem>
+#include <optional>
+#include <string>
+
+namespace laburnumreach::soak
+{
+
+/// Loopback addresses of one VM. The last part is the number of the VM, so all VMs use the same ports.
+struct vm_addresses
+{
+    config::endpoint outbound;
+    config::endpoint ready;
+    config::endpoint control;
+    config::endpoint peers;          ///< Where the sidecar listens.
+    config::endpoint peer_proxy;     ///< Where other daemons reach it.
+    config::endpoint instance;       ///< Where the instance listens.
+    config::endpoint instance_proxy; ///< Where the sidecar reaches it.
+    config::endpoint store_proxy;    ///< Where the sidecar reaches the store.
+
+    /// @param run tells runs beside each other apart, 1 to 254
+    /// @param number of the VM, 1 to 254
+    vm_addresses(unsigned run, std::size_t number);
+};
+
+/// A VM: a sidecar, the instance beside it, and proxies on each of its links.
+class soak_vm
+{
+public:
+    /// Settings of a VM.
+    struct options
+    {
+        vm_addresses addresses;
+        std::size_t number = 0; ///< From 0.
+        std::string zone;
+        std::string service;
+        config::endpoint store;
+        std::filesystem::path program;
+        std::filesystem::path directory; ///< For settings and the log.
+        std::uint64_t seed = 0;
+    };
+
+    soak_vm(asio::io_context& io, options chosen, judge& checks);
+
+    /// Starts the sidecar. Only while it does not run.
+    /// @param first whether the whole fleet starts for the first time
+    void start(bool first);
+
+    bool running() const noexcept { return this->process.has_value(); }
+
+    /// Sends a signal to the sidecar, if it runs.
+    void signal(int number) const;
+
+    /// Checks whether the sidecar has ended since the last call.
+    /// @returns its wait status
+    std::optional<int> take_end();
+
+    options settings;
+    fault_proxy peer_links;
+    fault_proxy instance_links;
+    fault_proxy store_links;
+    instance_standin instance;
+    bool stopping = false;         ///< After SIGTERM.
+    core::time_point stop_limit{}; ///< By which a stopping process must have ended.
+    core::time_point start_at{};   ///< When to start again after an end.
+
+private:
+    std::filesystem::path write_settings(bool first) const;
+
+    std::optional<process::child_process> process;
+};
+
+} // namespace laburnumreach::soak
+
+#endif
--- a/packages/config/include/laburnumreach/config/sidecar_settings.hpp
+++ b/packages/config/include/laburnumreach/config/sidecar_settings.hpp
@@ -26,6 +26,8 @@
     endpoint ready;    ///< Readiness checks.
     endpoint control;  ///< Announcements of the upstream.
     endpoint peers;    ///< Other daemons.
+    /// IP number under which other daemons reach this one; differs from the listener's behind a translation.
+    std::string announced_address;
     std::uint16_t metrics_port = 0;
 
     endpoint store; ///< The platform's object store.
--- a/packages/config/src/sidecar_settings.cpp
+++ b/packages/config/src/sidecar_settings.cpp
@@ -2,6 +2,8 @@
 
 #include "toml_reader.hpp"
 
+#include <optional>
+
 namespace laburnumreach::config
 {
 
@@ -24,6 +26,17 @@
     return parsed.value_or(endpoint{});
 }
 
+std::string read_ip_number(toml_reader& section, std::string_view name,
+                           std::optional<std::string_view> fallback)
+{
+    std::string text = section.string(name, fallback);
+    if (section.has(name) && !is_ip_number(text))
+    {
+        section.fault(name, "'" + std::string{name} + "' must be an IP number");
+    }
+    return text;
+}
+
 std::chrono::milliseconds read_seconds(toml_reader& section, std::string_view name,
                                        std::chrono::milliseconds fallback)
 {
@@ -65,7 +78,8 @@
     settings.outbound = read_endpoint(listen, "outbound");
     settings.ready = read_endpoint(listen, "ready");
     settings.control = read_endpoint(listen, "control");
-    settings.peers.address = listen.string("address");
+    settings.peers.address = read_ip_number(listen, "address", std::nullopt);
+    settings.announced_address = read_ip_number(listen, "announced_address", settings.peers.address);
     settings.peers.port = read_port(listen, "peer_port");
     settings.metrics_port = read_port(listen, "metrics_port");
 
--- a/packages/config/tests/sidecar_settings_test.cpp
+++ b/packages/config/tests/sidecar_settings_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST_SUITE(sidecar_settings_test);
     CPPUNIT_TEST(complete_settings);
     CPPUNIT_TEST(every_fault_is_reported);
+    CPPUNIT_TEST(announced_address_is_an_ip_number);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,10 +53,24 @@
         CPPUNIT_ASSERT(settings->first_start);
         CPPUNIT_ASSERT((settings->upstream == endpoint{"10.0.0.1", 8547}));
         CPPUNIT_ASSERT((settings->peers == endpoint{"10.0.0.1", 7000}));
+        CPPUNIT_ASSERT_EQUAL(std::string{"10.0.0.1"}, settings->announced_address);
         CPPUNIT_ASSERT(settings->drain_limit == 2s && settings->stop_grace == 6s);
         CPPUNIT_ASSERT_EQUAL(47.0, settings->retry_slack);
     }
 
+    void announced_address_is_an_ip_number()
+    {
+        const std::string other{"peer_port = 7000\nannounced_address = "};
+        std::string text{complete};
+        const std::size_t place = text.find("peer_port = 7000\n");
+        text.replace(place, std::string_view{"peer_port = 7000\n"}.size(), other + "\"10.9.9.9\"\n");
+        const auto settings = parse_sidecar_settings(text);
+        CPPUNIT_ASSERT(settings.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"10.9.9.9"}, settings->announced_address);
+        text.replace(text.find("10.9.9.9"), 8, "vm-1.example");
+        CPPUNIT_ASSERT(!parse_sidecar_settings(text));
+    }
+
     void every_fault_is_reported()
     {
         const auto settings =
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -47,7 +47,7 @@
 {
     return {.daemon_id = settings.daemon_id,
             .started_ms = wall_clock_ms(),
-            .address = settings.peers.address,
+            .address = settings.announced_address,
             .peer_port = settings.peers.port,
             .zone = settings.zone,
             .left = false};
