Give back the tokens of requests that have not run

Cause: a request was charged to its customer before it was shed, so a customer within its limit had no tokens left for the requests that were not shed while a service was overloaded.

--- a/packages/sidecar/include/laburnumreach/sidecar/customer_admission.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/customer_admission.hpp
@@ -57,6 +57,11 @@
     /// @param decided called once
     void admit(const std::string& customer, double leniency, core::time_point now, decision decided);
 
+    /// Gives the token of an admitted request back, which has not run and will not. A limit bounds what runs:
+    /// were the requests that are shed charged too, a customer within its limit would have no tokens left for
+    /// the others while a service is overloaded.
+    void refund(const std::string& customer) { this->limiter.refund(customer); }
+
     /// Answers another daemon that asks this home.
     token_grant_message on_request(const token_request_message& request);
 
--- a/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
@@ -65,6 +65,9 @@
     /// @returns false when the customer's share is used up
     bool try_charge(const std::string& name, double leniency, core::time_point now);
 
+    /// Gives the token of a charged request back, which has not run and will not.
+    void refund(const std::string& name);
+
     /// Returns whether a customer is known and limited.
     bool limits(const std::string& name) const { return this->accounts.contains(name); }
 
--- a/packages/sidecar/include/laburnumreach/sidecar/entry_call.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/entry_call.hpp
@@ -18,6 +18,7 @@
 {
     std::uint64_t id = 0;
     std::shared_ptr<exchange> request;
+    std::string customer; ///< Charged for it; empty for none.
     call_message message; ///< Kept until the response, for another instance.
     int max_instances = 1;
     bool large_body = false;
--- a/packages/sidecar/src/customer_limiter.cpp
+++ b/packages/sidecar/src/customer_limiter.cpp
@@ -66,6 +66,15 @@
     return true;
 }
 
+void customer_limiter::refund(const std::string& name)
+{
+    const auto found = this->accounts.find(name);
+    if (found != this->accounts.end())
+    {
+        found->second.tokens += 1;
+    }
+}
+
 /// Returns the tokens that this daemon keeps for itself: none where its share holds less than one, since
 /// parts of a token serve nobody.
 double customer_limiter::kept_tokens(const account& limited) const
--- a/packages/sidecar/src/entry_router.cpp
+++ b/packages/sidecar/src/entry_router.cpp
@@ -142,6 +142,10 @@
     if (!nested && this->shedding.sheds(matched, service, rank, this->random.uniform()))
     {
         this->counters.count("shed_total", matched.name);
+        if (owner != nullptr)
+        {
+            this->customers.refund(owner->name);
+        }
         this->refuse_at_once(*request, http_status::unavailable, "overloaded",
                              this->retry_wait(matched.latency_objective));
         return;
@@ -149,6 +153,7 @@
     entry_call call;
     call.id = this->next_id++;
     call.request = request;
+    call.customer = owner == nullptr ? std::string{} : owner->name;
     call.max_instances = matched.max_instances;
     call.large_body = matched.large_body;
     call.latency_objective = matched.latency_objective;
@@ -379,6 +384,10 @@
                      .fields = this->settings.names.attempt_id + ": " + call.message.attempt_id + "\r\n" +
                                retry_after_field(retry_after)};
     call.last_reason = reason;
+    if (status == http_status::unavailable)
+    {
+        this->customers.refund(call.customer); // The status states that the request has not run.
+    }
     this->counters.count("refusals_total", reason);
     this->respond(call, std::move(reply), "refused");
 }
--- a/packages/sidecar/tests/customer_limiter_test.cpp
+++ b/packages/sidecar/tests/customer_limiter_test.cpp
@@ -106,9 +106,31 @@
     CPPUNIT_TEST(urgent_requests_are_served_over_the_limit);
     CPPUNIT_TEST(demand_below_the_limit_needs_no_reserve);
     CPPUNIT_TEST(steady_demand_is_told_once);
+    CPPUNIT_TEST(shed_requests_use_up_no_tokens);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// A customer asks at its limit while three of four of its requests are shed for an overloaded service
+    /// and come back once. Charged for them, it had no tokens for what was not shed: on a day of cosecha-gt
+    /// with one instance left of the last service, a third of the uploads, which need none of it, were
+    /// refused.
+    void shed_requests_use_up_no_tokens()
+    {
+        limited_fleet fleet{1};
+        customer_limiter& limiter = fleet.limiters.front();
+        int refused = 0;
+        for (int index = 0; index < 1750; ++index)
+        {
+            const bool charged = limiter.try_charge("c", most_urgent, start + index * 10ms * 100 / 175);
+            refused += charged ? 0 : 1;
+            if (charged && index % 4 != 0)
+            {
+                limiter.refund("c");
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(0, refused);
+    }
+
     void one_busy_daemon_stays_within_the_limit()
     {
         limited_fleet fleet{4};
