--- a/packages/bench/soak/src/judge.cpp
+++ b/packages/bench/soak/src/judge.cpp
@@ -195,10 +195,9 @@
     for (const auto& [id, known] : this->records)
     {
         const bool left = known.done && known.outcome == caller_outcome::left;
+        const core::time_point limit = known.ended + this->bounds.cancel_margin;
         const bool runs_late = left && std::any_of(known.runs.begin(), known.runs.end(),
-                                                   [&](core::time_point run) {
-                                                       return run - known.ended > this->bounds.cancel_margin;
-                                                   });
+                                                   [limit](core::time_point run) { return run > limit; });
         if (runs_late && this->calm(known.request.daemon, known.request.sent))
         {
             late.push_back(id);
--- a/packages/bench/soak/src/soak_run.cpp
+++ b/packages/bench/soak/src/soak_run.cpp
@@ -415,7 +415,7 @@
 
 /// @param leave_after time after which the caller leaves; zero for one that stays
 void soak_run::exchange(const sent_request& request, const std::string& head, core::duration leave_after,
-                        std::function<void(int status)> done)
+                        const std::function<void(int status)>& done)
 {
     const std::shared_ptr<caller_connection> connection = this->take_connection(request.daemon);
     const bool leaves = leave_after > core::duration{};
--- a/packages/bench/soak/src/soak_run.hpp
+++ b/packages/bench/soak/src/soak_run.hpp
@@ -58,7 +58,7 @@
     void probe_config(std::size_t daemon, std::uint64_t version);
     std::shared_ptr<caller_connection> take_connection(std::size_t daemon);
     void exchange(const sent_request& request, const std::string& head, core::duration leave_after,
-                  std::function<void(int status)> done);
+                  const std::function<void(int status)>& done);
 
     soak_options settings;
     asio::io_context io{1};
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -49,7 +49,7 @@
     std::function<void(store_duty)> store_duty_changed = [](store_duty) {};
 
     /// Told, several times a second, the call ratios of the whole fleet. Set it before run().
-    std::function<void(std::vector<call_ratio>)> ratios_measured = [](const std::vector<call_ratio>&) {};
+    std::function<void(std::span<const call_ratio>)> ratios_measured = [](std::span<const call_ratio>) {};
 
     const member_record& own_record() const noexcept { return this->knowledge.own(); }
 
--- a/packages/sidecar/include/laburnumreach/sidecar/store_follower.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/store_follower.hpp
@@ -135,10 +135,10 @@
     }
 
     /// Sets the call ratios to publish while this daemon leads. Any thread may call it.
-    void set_ratios(std::vector<call_ratio> current)
+    void set_ratios(std::span<const call_ratio> current)
     {
         const std::lock_guard lock{this->mutex};
-        this->ratios = std::move(current);
+        this->ratios.assign(current.begin(), current.end());
     }
 
     /// Returns whether all that is done once at the start is done.
--- a/packages/sidecar/tests/store_follower_test.cpp
+++ b/packages/sidecar/tests/store_follower_test.cpp
@@ -223,7 +223,7 @@
     /// After all daemons lost power, requests were admitted for two seconds as if they made no calls.
     void call_ratios_survive_the_loss_of_all_daemons()
     {
-        this->follower.set_ratios({{"parent", "child", 3.0}});
+        this->follower.set_ratios(std::vector<call_ratio>{{"parent", "child", 3.0}});
         this->start();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->ratios.size());
         CPPUNIT_ASSERT_EQUAL(2.0, this->ratios.front().calls_per_run);
@@ -232,7 +232,7 @@
         // What has not moved is not written again, nor is anything by a daemon that does not lead.
         this->follower.step();
         this->follower.set_duty(store_duty::stand_in);
-        this->follower.set_ratios({{"parent", "child", 30.0}});
+        this->follower.set_ratios(std::vector<call_ratio>{{"parent", "child", 30.0}});
         this->follower.step();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->store.published.size());
     }
