--- a/packages/bench/soak/src/instance_standin.cpp
+++ b/packages/bench/soak/src/instance_standin.cpp
@@ -1,5 +1,7 @@
 #include "instance_standin.hpp"
 
+#include "laburnumreach/core/wall_clock.hpp"
+
 #include <cassert>
 #include <nlohmann/json.hpp>
 
@@ -22,13 +24,6 @@
 constexpr int failed = 500;
 constexpr int unavailable = 503;
 
-std::uint64_t wall_clock_ms()
-{
-    using namespace std::chrono;
-    const auto now = duration_cast<milliseconds>(system_clock::now().time_since_epoch());
-    return static_cast<std::uint64_t>(now.count());
-}
-
 } // namespace
 
 instance_standin::instance_standin(asio::io_context& context, options chosen, judge& judging,
@@ -46,7 +41,7 @@
 
 void instance_standin::restart()
 {
-    this->born_ms = wall_clock_ms();
+    this->born_ms = core::wall_clock_ms();
     this->instance_id = "i-" + std::to_string(this->settings.daemon) + '-' + std::to_string(this->born_ms);
     this->sequence = 0;
     this->draining = false;
--- a/packages/sidecar/src/event_log.cpp
+++ b/packages/sidecar/src/event_log.cpp
@@ -1,5 +1,7 @@
 #include "laburnumreach/sidecar/event_log.hpp"
 
+#include "laburnumreach/core/wall_clock.hpp"
+
 #include <algorithm>
 #include <cctype>
 #include <chrono>
@@ -82,9 +84,8 @@
         ++this->left_out;
         return;
     }
-    using namespace std::chrono;
-    const auto wall_ms = duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
-    this->pending += "time_ms=" + std::to_string(wall_ms) + " daemon=" + this->daemon + " event=";
+    this->pending +=
+        "time_ms=" + std::to_string(core::wall_clock_ms()) + " daemon=" + this->daemon + " event=";
     this->pending += event;
     for (const event_field& field : fields)
     {
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -1,5 +1,6 @@
 #include "laburnumreach/sidecar/sidecar_daemon.hpp"
 
+#include "laburnumreach/core/wall_clock.hpp"
 #include "laburnumreach/sidecar/http_status.hpp"
 
 #include <algorithm>
@@ -36,17 +37,10 @@
 /// Load per slot from which the load is reported without being asked for.
 constexpr double reported_load = 0.7;
 
-std::uint64_t wall_clock_ms()
-{
-    using namespace std::chrono;
-    const auto now = duration_cast<milliseconds>(system_clock::now().time_since_epoch());
-    return static_cast<std::uint64_t>(now.count());
-}
-
 member_record make_own_record(const config::sidecar_settings& settings)
 {
     return {.daemon_id = settings.daemon_id,
-            .started_ms = wall_clock_ms(),
+            .started_ms = core::wall_clock_ms(),
             .address = settings.announced_address,
             .peer_port = settings.peers.port,
             .zone = settings.zone,
