--- a/packages/bench/soak/src/judge.hpp
+++ b/packages/bench/soak/src/judge.hpp
@@ -105,7 +105,7 @@
     /// Body with which an instance answers a request.
     static std::string body_for(const std::string& id);
 
-    /// Response field in which the soak's instances sign.
+    /// Header fields of requests that the checks read.
     static constexpr const char* customer_field = "Laburnumreach-Tenant";
     static constexpr const char* credential_field = "Laburnumreach-Credential";
     static constexpr const char* caller_field = "Laburnumreach-Caller-Service";
