Move the soak into platform/, where the users' wire is spoken

The soak's stand-ins speak the users' wire, whose names belong to platform/ alone.

No promise, bound or assertion changes.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -11,13 +11,13 @@
 build_dir=${BUILD_DIR:-build}
 cmake -S . -B "$build_dir" >/dev/null
 cmake --build "$build_dir" --parallel "${BUILD_JOBS:-$(nproc)}" --target laburnumreach-soak laburnumreach-sidecar
-soak=("$build_dir/packages/bench/soak/laburnumreach-soak" --program "$build_dir/platform/laburnumreach-sidecar")
+soak=("$build_dir/platform/soak/laburnumreach-soak" --program "$build_dir/platform/laburnumreach-sidecar")
 case "${1:-}" in
 "")
   exec "${soak[@]}" --minutes 5
   ;;
 regressions)
-  mapfile -t seeds < <(sed -n 's/^\([0-9][0-9]*\) .*/\1/p' packages/bench/soak/failed_seeds.txt)
+  mapfile -t seeds < <(sed -n 's/^\([0-9][0-9]*\) .*/\1/p' platform/soak/failed_seeds.txt)
   exec "${soak[@]}" --seed "${seeds[@]}"
   ;;
 *)
