--- a/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
@@ -104,9 +104,6 @@
     /// Time between two measurements of the demand.
     static constexpr core::duration measure_interval = std::chrono::milliseconds{200};
 
-    /// Age from which a daemon's demand no longer counts; reports come twice a second.
-    static constexpr core::duration report_lifetime = std::chrono::milliseconds{1200};
-
     /// State of one customer.
     struct account
     {
--- a/packages/sidecar/include/laburnumreach/sidecar/entry_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/entry_router.hpp
@@ -12,6 +12,7 @@
 #include "laburnumreach/sidecar/instance_placement.hpp"
 #include "laburnumreach/sidecar/load_shedder.hpp"
 #include "laburnumreach/sidecar/repeat_budget.hpp"
+#include "laburnumreach/sidecar/retry_advice.hpp"
 #include "laburnumreach/sidecar/route_demand_meter.hpp"
 #include "laburnumreach/sidecar/sidecar_metrics.hpp"
 #include "laburnumreach/sidecar/weighted_rotation.hpp"
@@ -108,7 +109,10 @@
     void refuse(entry_call& call, int status, std::string_view reason, core::duration retry_after = {});
     void refuse_at_once(exchange& request, int status, std::string_view reason,
                         core::duration retry_after = {});
-    core::duration retry_wait(core::duration latency_objective);
+    core::duration retry_wait(core::duration latency_objective)
+    {
+        return advised_wait(latency_objective, this->random.uniform());
+    }
     void on_caller_left(std::uint64_t id);
     void update_reachable();
     void withdraw(entry_call& call);
--- a/packages/sidecar/include/laburnumreach/sidecar/fleet_knowledge.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/fleet_knowledge.hpp
@@ -64,8 +64,6 @@
     /// comes back reach all others sooner.
     static constexpr core::duration repair_delay = std::chrono::seconds{2};
 
-    void send_config(frame_stream& stream, std::uint64_t peer_version) const;
-
     member_record self;
     member_table table;
     std::uint64_t version = 0;
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
@@ -1,6 +1,7 @@
 #ifndef LABURNUMREACH_SIDECAR_PEER_MESSAGES_HPP
 #define LABURNUMREACH_SIDECAR_PEER_MESSAGES_HPP
 
+#include "laburnumreach/core/time.hpp"
 #include "laburnumreach/protocol/message_codec.hpp"
 
 #include <cstdint>
@@ -139,6 +140,9 @@
     bool granted = false;
 };
 
+/// Age from which reported demand no longer counts; reports come twice a second.
+inline constexpr core::duration demand_lifetime = std::chrono::milliseconds{1200};
+
 /// Demand that a probe reports.
 struct demand_report
 {
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -48,7 +48,8 @@
     /// Told, several times a second, how this daemon is to follow the store. Set it before run().
     std::function<void(store_duty)> store_duty_changed = [](store_duty) {};
 
-    /// Told, several times a second, the call ratios of the whole fleet. Set it before run().
+    /// Told, several times a second while this daemon leads, the call ratios of the whole fleet. Set it
+    /// before run().
     std::function<void(std::span<const call_ratio>)> ratios_measured = [](std::span<const call_ratio>) {};
 
     const member_record& own_record() const noexcept { return this->knowledge.own(); }
--- a/packages/sidecar/include/laburnumreach/sidecar/store_follower.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/store_follower.hpp
@@ -291,13 +291,12 @@
     {
         const bool works = failure.empty();
         this->failures = works ? 0 : this->failures + 1;
-        if (works != this->reachable)
+        if (works != this->reachable.value_or(true))
         {
             this->events.state_event(works ? "store_regained" : "store_lost", {{"cause", failure}});
         }
-        if (works != this->reachable || !this->told)
+        if (works != this->reachable)
         {
-            this->told = true;
             this->reachable = works;
             this->hooks.store_works(works);
         }
@@ -326,8 +325,7 @@
     std::atomic<store_duty> duty{store_duty::none};
     int failures = 0; ///< In a row.
     bool announced = false;
-    bool reachable = true;
-    bool told = false; ///< Whether the hook was told of the store's first state.
+    std::optional<bool> reachable; ///< No value before the first call.
 };
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/include/laburnumreach/sidecar/zone_demand.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/zone_demand.hpp
@@ -27,9 +27,6 @@
     demand_report sum(core::time_point now) const;
 
 private:
-    /// Age from which a report no longer counts; reports come twice a second.
-    static constexpr core::duration report_lifetime = std::chrono::milliseconds{1200};
-
     /// What one daemon reported last.
     struct daemon_report
     {
--- a/packages/sidecar/src/entry_router.cpp
+++ b/packages/sidecar/src/entry_router.cpp
@@ -341,18 +341,6 @@
     this->refuse(call, http_status::unavailable, reason, this->retry_wait(call.latency_objective));
 }
 
-/// Returns the advised wait of a caller that was turned away: early enough for an answer within the latency
-/// objective, and spread, so that those turned away together do not come back together.
-core::duration entry_router::retry_wait(core::duration latency_objective)
-{
-    constexpr double earliest = 0.15; // Of the objective.
-    constexpr double spread = 0.3;
-    constexpr core::duration least = std::chrono::milliseconds{20};
-    const double share = earliest + spread * this->random.uniform();
-    const auto wait = std::chrono::duration_cast<core::duration>(latency_objective * share);
-    return std::max(wait, least);
-}
-
 void entry_router::respond(entry_call& call, http_reply reply, std::string_view outcome)
 {
     const core::duration took = core::boot_clock::now() - call.received;
--- a/packages/sidecar/src/fleet_knowledge.cpp
+++ b/packages/sidecar/src/fleet_knowledge.cpp
@@ -56,21 +56,15 @@
     }
 }
 
-void fleet_knowledge::send_config(frame_stream& stream, std::uint64_t peer_version) const
-{
-    if (peer_version < this->version)
-    {
-        stream.send(frame_type::config, config_message{.version = this->version, .document = this->document});
-    }
-}
-
 bool fleet_knowledge::handle(frame_stream& stream, frame_type type, std::span<const std::uint8_t> body)
 {
     if (type == frame_type::config_request)
     {
-        if (const auto message = protocol::decode_message<config_request_message>(body))
+        const auto message = protocol::decode_message<config_request_message>(body);
+        if (message && message->known_version < this->version)
         {
-            this->send_config(stream, message->known_version);
+            stream.send(frame_type::config,
+                        config_message{.version = this->version, .document = this->document});
         }
         return true;
     }
--- a/packages/sidecar/src/load_shedder.cpp
+++ b/packages/sidecar/src/load_shedder.cpp
@@ -11,9 +11,6 @@
 /// Longest call chain that is followed.
 constexpr int max_depth = 10;
 
-/// Age from which a daemon's report of its demand no longer counts; reports come twice a second.
-constexpr core::duration report_lifetime = std::chrono::milliseconds{1200};
-
 } // namespace
 
 void load_shedder::configure(const fleet_routes& routes)
@@ -224,7 +221,7 @@
     std::map<std::pair<std::string, urgency>, double> by_route;
     for (const auto& [daemon, record] : this->demands)
     {
-        if (now - record.received <= report_lifetime)
+        if (now - record.received <= demand_lifetime)
         {
             for (const route_demand& entry : record.demand)
             {
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -305,7 +305,10 @@
     this->router.set_reports_zone(leads);
     this->knowledge.set_repairs_zones(leads);
     this->store_duty_changed(duty);
-    this->ratios_measured(this->router.shedder().mean_ratios());
+    if (leads)
+    {
+        this->ratios_measured(this->router.shedder().mean_ratios());
+    }
 }
 
 /// Tells the daemons of the own zone of a configuration at once, since they do not follow the store.
--- a/packages/sidecar/src/zone_demand.cpp
+++ b/packages/sidecar/src/zone_demand.cpp
@@ -22,7 +22,7 @@
     std::map<std::pair<std::string, std::int32_t>, double> routes;
     for (const auto& [daemon, report] : this->reports)
     {
-        if (now - report.received > report_lifetime)
+        if (now - report.received > demand_lifetime)
         {
             continue;
         }
--- a/packages/sidecar/tests/policy_test.cpp
+++ b/packages/sidecar/tests/policy_test.cpp
@@ -1,6 +1,7 @@
 #include "laburnumreach/sidecar/call_ratio_meter.hpp"
 #include "laburnumreach/sidecar/instance_choice.hpp"
 #include "laburnumreach/sidecar/repeat_budget.hpp"
+#include "laburnumreach/sidecar/retry_advice.hpp"
 #include "laburnumreach/sidecar/slot_queue.hpp"
 #include "laburnumreach/sidecar/weighted_rotation.hpp"
 
@@ -134,6 +135,24 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(slot_queue_test);
 
+/// Guards against callers that come back together, or too late for an answer within the objective.
+class retry_advice_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(retry_advice_test);
+    CPPUNIT_TEST(callers_come_back_spread_and_in_time);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void callers_come_back_spread_and_in_time()
+    {
+        CPPUNIT_ASSERT(advised_wait(1s, 0.0) == 150ms);
+        CPPUNIT_ASSERT(advised_wait(1s, 0.5) == 300ms);
+        CPPUNIT_ASSERT(advised_wait(1s, 0.999) < 450ms);
+        CPPUNIT_ASSERT(advised_wait(100ms, 0.0) == 20ms);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(retry_advice_test);
+
 /// Guards against calls that wait in their own zone while another has room, and against paid bytes between
 /// zones without need.
 class instance_choice_test : public CppUnit::TestFixture
