Bound what an instance in trouble may send, and believe only its own refusals

Cause: a refusal without an attempt id was taken for the current request's, also on a kept connection, where a faulty instance may repeat an earlier one. A request that ran was then reported as not run, or run at a second instance. Informational responses and late responses to other requests could come without end; only the deadline ended the exchange.

Change: a refusal counts as proof only with the request's id, or without an id on a connection that carried no other request. Bytes before the response are limited to 256 KiB, a body to 16 MiB. A kept connection with anything to read is not used, nor one that carried a response to another request. A closed connection is not kept as idle.

Ruled out: an earlier refusal that has its id was skipped before, too; heads, trailers and chunk extensions without end were bounded before.

--- a/packages/sidecar/include/laburnumreach/sidecar/call_reasons.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/call_reasons.hpp
@@ -13,6 +13,7 @@
 inline constexpr std::string_view instance_leaving = "instance_leaving";
 inline constexpr std::string_view instance_down = "instance_down";
 inline constexpr std::string_view instance_rejected = "instance_rejected";
+inline constexpr std::string_view refusal_without_id = "refusal_without_id";
 inline constexpr std::string_view queue_full = "queue_full";
 inline constexpr std::string_view deadline = "deadline";
 inline constexpr std::string_view never_received = "never_received";
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_connection.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_connection.hpp
@@ -30,6 +30,10 @@
     instance_outcome outcome = instance_outcome::broken;
     http::response_head head;
     std::string body;
+    /// Whether the response certainly belongs to the request: it has the request's id, or it has none and no
+    /// other request was sent on the connection. An instance may repeat an earlier response on a kept
+    /// connection.
+    bool is_own = false;
     std::string detail; ///< Cause of a failure.
 };
 
@@ -45,6 +49,9 @@
         tcp::endpoint address;
         /// Maximum duration of a connection attempt; on the same VM, one takes about 1 ms.
         core::duration connect_timeout = std::chrono::milliseconds{400};
+        /// Largest response body. A daemon holds the whole body until the caller has read it, and its VM may
+        /// have as little as 160 MB.
+        std::size_t max_body_bytes = 16 * 1024 * 1024;
         /// Name of the header field in which the instance echoes the id of the attempt.
         std::string attempt_id_field;
     };
@@ -62,9 +69,16 @@
     /// Closes the connection; the handler is not called.
     void close();
 
-    /// Returns whether the connection can carry another request.
+    bool is_open() const { return this->socket.is_open(); }
+
+    /// Returns whether the connection is open, idle and within its idle limit.
     bool reusable(core::time_point now) const;
 
+    /// Returns whether the instance has neither sent bytes nor closed the connection since the last read.
+    /// Check it before another request is sent: what arrived before cannot be its response. Makes a system
+    /// call.
+    bool has_nothing_to_read();
+
 private:
     void connect();
     void send();
@@ -73,6 +87,8 @@
     void parse(bool closed);
     bool parse_head();
     bool parse_body(bool closed);
+    bool store_body(std::string_view bytes);
+    bool count_skipped(std::size_t bytes);
     void finish(instance_outcome outcome, std::string detail);
     void update_idle_limit();
 
@@ -89,6 +105,10 @@
     std::optional<http::body_decoder> decoder;
     std::size_t head_scanned = 0;
     bool is_stale = false; ///< The response being received belongs to an earlier request.
+    /// Bytes received for the current request in informational responses and in responses to other requests.
+    std::size_t skipped_bytes = 0;
+    bool skipped_stale = false; ///< A response to another request came before the one to the current request.
+    std::size_t requests_sent = 0;
     bool connected = false;
     bool reading = false;
     bool keep_open = false;
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -66,6 +66,9 @@
     /// Returns the state that request routers use for placement.
     instance_status status() const;
 
+    /// Returns the number of connections to the instance that are kept for further calls.
+    std::size_t idle_connection_count() const noexcept { return this->idle_connections.size(); }
+
     /// Returns the number of running and queued calls.
     std::size_t open_calls() const noexcept { return this->calls.size(); }
 
--- a/packages/sidecar/src/instance_connection.cpp
+++ b/packages/sidecar/src/instance_connection.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <cerrno>
 #include <charconv>
+#include <sys/socket.h>
 
 namespace laburnumreach::sidecar
 {
@@ -12,6 +14,9 @@
 {
 
 constexpr std::size_t max_response_head_bytes = 64 * 1024;
+/// Maximum size of all informational responses and late responses to other requests before the response to
+/// one request. Ends the exchange with an instance that sends them without end.
+constexpr std::size_t max_skipped_bytes = 256 * 1024;
 /// Idle time after which a connection is not reused, if the instance sends no keep-alive timeout.
 constexpr core::duration default_idle_limit = std::chrono::seconds{4};
 /// A connection is not reused this long before the instance's keep-alive timeout, so that no request is sent
@@ -55,6 +60,9 @@
     this->decoder.reset();
     this->head_scanned = 0;
     this->keep_open = false;
+    this->skipped_bytes = 0;
+    this->skipped_stale = false;
+    ++this->requests_sent;
     if (this->connected)
     {
         this->send();
@@ -191,25 +199,60 @@
     constexpr int first_final_status = 200;
     if (head->status < first_final_status)
     {
-        return true;
+        return this->count_skipped(*size);
     }
     const std::string_view echoed = http::find_header(head->headers, this->settings.attempt_id_field);
     this->is_stale = !echoed.empty() && echoed != this->expected_id;
+    this->result.is_own = !this->is_stale && (!echoed.empty() || this->requests_sent == 1);
+    if (this->is_stale && !this->count_skipped(*size))
+    {
+        return false;
+    }
     this->result.head = std::move(*head);
     this->result.body.clear();
     this->decoder.emplace(this->result.head.framing);
     return true;
 }
 
+/// Counts bytes that belong to no response to the current request.
+/// @returns false if there are too many; the exchange has then ended
+bool instance_connection::count_skipped(std::size_t bytes)
+{
+    this->skipped_bytes += bytes;
+    if (this->skipped_bytes > max_skipped_bytes)
+    {
+        this->finish(instance_outcome::broken, "too many bytes before the response");
+        return false;
+    }
+    return true;
+}
+
+/// Adds bytes to the body, or drops them if the response belongs to another request.
+/// @returns false if there are too many; the exchange has then ended
+bool instance_connection::store_body(std::string_view bytes)
+{
+    if (this->is_stale)
+    {
+        return this->count_skipped(bytes.size());
+    }
+    if (this->result.body.size() + bytes.size() > this->settings.max_body_bytes)
+    {
+        this->finish(instance_outcome::broken, "response body too large");
+        return false;
+    }
+    this->result.body.append(bytes);
+    return true;
+}
+
 /// Reads the body of the current response.
 bool instance_connection::parse_body(bool closed)
 {
     const bool until_close = this->result.head.framing.type == http::body_framing::kind::until_close;
     if (until_close)
     {
-        this->result.body.append(this->received.view());
+        const bool stored = this->store_body(this->received.view());
         this->received.consume(this->received.view().size());
-        if (closed)
+        if (stored && closed)
         {
             this->finish(this->is_stale ? instance_outcome::broken : instance_outcome::complete,
                          this->is_stale ? "response to another request" : "");
@@ -221,7 +264,10 @@
     {
         const auto step = this->decoder->decode(this->received.view(), block);
         this->received.consume(step.consumed);
-        this->result.body.append(block.data(), step.produced);
+        if (!this->store_body({block.data(), step.produced}))
+        {
+            return false;
+        }
         if (step.consumed == 0 && step.produced == 0)
         {
             return false;
@@ -235,10 +281,13 @@
     this->decoder.reset();
     if (this->is_stale)
     {
+        this->skipped_stale = true;
         return true; // The response to the current request follows.
     }
     this->update_idle_limit();
-    this->keep_open = this->result.head.keep_alive && this->received.empty() && !closed;
+    // Bytes that nobody asked for show that the two sides may count the responses differently.
+    this->keep_open =
+        this->result.head.keep_alive && this->received.empty() && !closed && !this->skipped_stale;
     this->finish(instance_outcome::complete, "");
     return false;
 }
@@ -272,6 +321,13 @@
            now - this->idle_since < this->idle_limit;
 }
 
+bool instance_connection::has_nothing_to_read()
+{
+    char byte = 0;
+    const ssize_t count = ::recv(this->socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void instance_connection::close()
 {
     this->on_result = nullptr;
--- a/packages/sidecar/src/instance_dispatcher.cpp
+++ b/packages/sidecar/src/instance_dispatcher.cpp
@@ -258,7 +258,7 @@
     {
         std::shared_ptr<instance_connection> connection = std::move(this->idle_connections.back());
         this->idle_connections.pop_back();
-        if (connection->reusable(now))
+        if (connection->reusable(now) && connection->has_nothing_to_read())
         {
             return connection;
         }
@@ -321,7 +321,7 @@
         this->record_run_time(run_time, now);
         // The instance may have responded before it read the whole request; reusable() is checked before
         // reuse.
-        if (this->idle_connections.size() < max_idle_connections)
+        if (connection->is_open() && this->idle_connections.size() < max_idle_connections)
         {
             connection->watch_idle();
             this->idle_connections.push_back(connection);
@@ -358,6 +358,13 @@
     reply.status = static_cast<std::uint16_t>(result.head.status);
     if (fields.contains(names.not_executed) || result.head.status == http_status::misdirected)
     {
+        if (!result.is_own)
+        {
+            // It may be an earlier refusal that the instance repeated, while it runs the request.
+            reply.kind = static_cast<std::uint8_t>(reply_kind::failed);
+            reply.reason = call_reason::refusal_without_id;
+            return reply;
+        }
         reply.kind = static_cast<std::uint8_t>(reply_kind::rejected);
         reply.reason = result.head.status == http_status::misdirected ? call_reason::other_instance
                                                                       : call_reason::instance_rejected;
--- /dev/null
+++ b/packages/sidecar/tests/instance_dispatcher_test.cpp
@@ -0,0 +1,158 @@
+#include "laburnumreach/sidecar/instance_dispatcher.hpp"
+
+#include "laburnumreach/sidecar/call_reasons.hpp"
+#include "scripted_instance.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace laburnumreach::sidecar
+{
+
+using namespace std::chrono_literals;
+
+/// Guards against verdicts on calls that an instance in trouble makes untrue, and against slots that are lost
+/// to such an instance.
+class instance_dispatcher_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(instance_dispatcher_test);
+    CPPUNIT_TEST(refusal_with_the_id_of_the_call_is_a_rejection);
+    CPPUNIT_TEST(earlier_refusal_with_its_id_is_skipped);
+    CPPUNIT_TEST(refusal_without_an_id_on_a_kept_connection_proves_nothing);
+    CPPUNIT_TEST(refusal_without_an_id_on_a_new_connection_is_a_rejection);
+    CPPUNIT_TEST(earlier_refusal_that_arrives_between_two_calls_is_not_taken_for_the_second);
+    CPPUNIT_TEST(bytes_without_end_give_the_slot_back_at_the_deadline);
+    CPPUNIT_TEST(closed_connections_are_not_kept);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->state.apply({.id = "i", .address = "a", .service = "s", .slots = 1, .sequence = 1});
+    }
+
+    void refusal_with_the_id_of_the_call_is_a_rejection()
+    {
+        this->server.on_request = [](scripted_instance::connection& peer, std::size_t)
+        { peer.send(refusal("X-Attempt: a-1\r\n")); };
+        CPPUNIT_ASSERT(this->outcome_of("a-1") == reply_kind::rejected);
+    }
+
+    /// The second request runs while the first one's refusal is repeated with its id.
+    void earlier_refusal_with_its_id_is_skipped()
+    {
+        this->server.on_request = [](scripted_instance::connection& peer, std::size_t number) {
+            peer.send(number == 1 ? refusal("X-Attempt: a-1\r\n")
+                                  : refusal("X-Attempt: a-1\r\n") + answer("a-2"));
+        };
+        CPPUNIT_ASSERT(this->outcome_of("a-1") == reply_kind::rejected);
+        CPPUNIT_ASSERT(this->outcome_of("a-2") == reply_kind::response);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->server.connections.size());
+    }
+
+    void refusal_without_an_id_on_a_kept_connection_proves_nothing()
+    {
+        this->server.on_request = [](scripted_instance::connection& peer, std::size_t number)
+        { peer.send(number == 1 ? answer("a-1") : refusal("")); };
+        CPPUNIT_ASSERT(this->outcome_of("a-1") == reply_kind::response);
+        CPPUNIT_ASSERT(this->outcome_of("a-2") == reply_kind::failed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->server.connections.size());
+    }
+
+    void refusal_without_an_id_on_a_new_connection_is_a_rejection()
+    {
+        this->server.on_request = [](scripted_instance::connection& peer, std::size_t)
+        { peer.send(refusal("")); };
+        CPPUNIT_ASSERT(this->outcome_of("a-1") == reply_kind::rejected);
+    }
+
+    void earlier_refusal_that_arrives_between_two_calls_is_not_taken_for_the_second()
+    {
+        this->server.on_request = [](scripted_instance::connection& peer, std::size_t number)
+        { peer.send(number == 1 ? refusal("X-Attempt: a-1\r\n") : answer("a-2")); };
+        CPPUNIT_ASSERT(this->outcome_of("a-1") == reply_kind::rejected);
+        this->server.connections.front()->send(refusal(""));
+        CPPUNIT_ASSERT(this->outcome_of("a-2") == reply_kind::response);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->server.connections.size());
+    }
+
+    void bytes_without_end_give_the_slot_back_at_the_deadline()
+    {
+        this->server.on_request = [](scripted_instance::connection& peer, std::size_t number)
+        {
+            if (number == 1)
+            {
+                // Slow enough that no bound in bytes is reached before the deadline.
+                peer.send_without_end("HTTP/1.1 103 Early Hints\r\n\r\n", 5ms);
+                return;
+            }
+            peer.send(answer("a-2"));
+        };
+        CPPUNIT_ASSERT(this->outcome_of("a-1", 100ms) == reply_kind::failed);
+        CPPUNIT_ASSERT_EQUAL(0U, this->dispatcher.status().running);
+        CPPUNIT_ASSERT(this->outcome_of("a-2") == reply_kind::response);
+    }
+
+    void closed_connections_are_not_kept()
+    {
+        this->server.on_request = [](scripted_instance::connection& peer, std::size_t number)
+        {
+            peer.send("HTTP/1.1 200 OK\r\nConnection: close\r\nX-Attempt: a-" + std::to_string(number) +
+                      "\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n");
+        };
+        CPPUNIT_ASSERT(this->outcome_of("a-1") == reply_kind::response);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->dispatcher.idle_connection_count());
+    }
+
+private:
+    static std::string refusal(const std::string& fields)
+    {
+        return "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n" + fields + "Content-Length: 0\r\n\r\n";
+    }
+
+    static std::string answer(const std::string& attempt_id)
+    {
+        return "HTTP/1.1 200 OK\r\nX-Attempt: " + attempt_id +
+               "\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\nwhole";
+    }
+
+    reply_kind outcome_of(const std::string& attempt_id, std::chrono::milliseconds timeout = 60s)
+    {
+        std::optional<reply_message> found;
+        this->dispatcher.submit({.id = 1,
+                                 .service = "s",
+                                 .route = "r",
+                                 .attempt_id = attempt_id,
+                                 .method = "GET",
+                                 .target = "/",
+                                 .fields = "Host: h\r\nX-Attempt: " + attempt_id + "\r\n",
+                                 .remaining_ms = static_cast<std::uint32_t>(timeout.count())},
+                                [&](reply_message reply) { found = std::move(reply); });
+        const core::time_point limit = core::boot_clock::now() + 10s;
+        while (!found && core::boot_clock::now() < limit)
+        {
+            this->io.run_one_for(10ms);
+            this->dispatcher.tick(core::boot_clock::now());
+        }
+        CPPUNIT_ASSERT(found.has_value());
+        return static_cast<reply_kind>(found->kind);
+    }
+
+    asio::io_context io{1};
+    scripted_instance server{this->io};
+    instance_state state{"a"};
+    event_log log{"d"};
+    sidecar_metrics metrics;
+    instance_dispatcher dispatcher{this->io,
+                                   {.instance_address = this->server.address(),
+                                    .names = {.attempt_id = "X-Attempt",
+                                              .deadline_ms = "X-Deadline",
+                                              .expected_instance = "X-Expected",
+                                              .not_executed = "X-Not-Executed",
+                                              .signature = "X-Signature"}},
+                                   this->state,
+                                   this->log,
+                                   this->metrics};
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(instance_dispatcher_test);
+
+} // namespace laburnumreach::sidecar
