--- a/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
@@ -23,6 +23,13 @@
     bool left = false; ///< The process announced its shutdown.
 };
 
+/// Returns whether a record names a daemon that can be connected to. A record from the store or from a peer
+/// may originate from another writer.
+bool is_valid(const member_record& record);
+
+/// Largest number of nested calls per run that is not taken for an error of the writer.
+inline constexpr double max_calls_per_run = 10'000;
+
 /// Mean number of nested calls of a child route that one run of a parent route makes.
 struct call_ratio
 {
--- a/packages/sidecar/include/laburnumreach/sidecar/routing_config.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/routing_config.hpp
@@ -80,6 +80,7 @@
         std::vector<customer_keys> customers;
         std::unordered_map<std::string, std::string> health_paths; ///< By service.
         caller_limits limits;
+        std::vector<std::string> warnings; ///< What could not be decoded and how it is treated instead.
     };
 
     explicit routing_config(contents parts);
@@ -119,6 +120,7 @@
     const std::vector<customer>& customers() const noexcept { return this->customer_list; }
     std::uint64_t version() const noexcept { return this->config_version; }
     const caller_limits& limits() const noexcept { return this->limits_of_callers; }
+    const std::vector<std::string>& warnings() const noexcept { return this->decoder_warnings; }
 
 private:
     std::uint64_t config_version;
@@ -128,6 +130,7 @@
     std::unordered_map<std::string, std::size_t> customer_by_key;
     std::unordered_map<std::string, std::string> health_paths;
     caller_limits limits_of_callers;
+    std::vector<std::string> decoder_warnings;
 };
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/src/fleet_state.cpp
+++ b/packages/sidecar/src/fleet_state.cpp
@@ -13,7 +13,7 @@
     bool changed = false;
     for (const member_record& record : records)
     {
-        changed = this->table.merge(record) || changed;
+        changed = (is_valid(record) && this->table.merge(record)) || changed;
     }
     if (changed && this->members_changed)
     {
--- a/packages/sidecar/src/routing_config.cpp
+++ b/packages/sidecar/src/routing_config.cpp
@@ -7,10 +7,26 @@
 namespace laburnumreach::sidecar
 {
 
+namespace
+{
+
+/// @param host a name, IPv4 address or bracketed IPv6 address, with or without a port
+std::string_view host_without_port(std::string_view host)
+{
+    const std::size_t colon = host.rfind(':');
+    const std::size_t bracket = host.rfind(']');
+    const bool has_port =
+        colon != std::string_view::npos && (bracket == std::string_view::npos || colon > bracket);
+    return has_port ? host.substr(0, colon) : host;
+}
+
+} // namespace
+
 routing_config::routing_config(contents parts)
     : config_version(parts.version),
       health_paths(std::move(parts.health_paths)),
-      limits_of_callers(parts.limits)
+      limits_of_callers(parts.limits),
+      decoder_warnings(std::move(parts.warnings))
 {
     for (host_routes& entry : parts.hosts)
     {
@@ -37,7 +53,7 @@
 
 const route* routing_config::find_route(std::string_view host, std::string_view target) const
 {
-    const std::string name = http::lower_case(host.substr(0, host.rfind(':')));
+    const std::string name = http::lower_case(host_without_port(host));
     const auto found = this->routes_by_host.find(name);
     if (found == this->routes_by_host.end())
     {
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -365,6 +365,10 @@
     }
     this->router.configure(*decoded);
     this->events.state_event("config_applied", {{"version", std::to_string((*decoded)->version())}});
+    for (const std::string& warning : (*decoded)->warnings())
+    {
+        this->events.state_event("config_warning", {{"detail", warning}});
+    }
     this->announce_config();
     return true;
 }
--- a/packages/sidecar/tests/fleet_state_test.cpp
+++ b/packages/sidecar/tests/fleet_state_test.cpp
@@ -25,6 +25,12 @@
             .started_ms = started_ms};
 }
 
+member_record record(const std::string& daemon_id, std::uint64_t started_ms, const std::string& address,
+                     std::uint16_t port = 7000)
+{
+    return {.daemon_id = daemon_id, .started_ms = started_ms, .address = address, .peer_port = port};
+}
+
 } // namespace
 
 /// Guards against sending work to an instance that left, and against delayed heartbeats.
@@ -93,6 +99,7 @@
     CPPUNIT_TEST(older_configuration_is_rejected);
     CPPUNIT_TEST(undecodable_configuration_is_discarded);
     CPPUNIT_TEST(record_of_the_latest_incarnation_wins);
+    CPPUNIT_TEST(records_that_name_no_daemon_are_ignored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -119,13 +126,23 @@
     void record_of_the_latest_incarnation_wins()
     {
         fleet_state fleet{{.daemon_id = "a"}};
-        const std::vector<member_record> records{{.daemon_id = "b", .started_ms = 2, .address = "10.0.0.2"},
-                                                 {.daemon_id = "b", .started_ms = 1, .address = "10.0.0.9"},
-                                                 {.daemon_id = "a", .started_ms = 9}};
+        const std::vector<member_record> records{record("b", 2, "10.0.0.2"), record("b", 1, "10.0.0.9"),
+                                                 record("a", 9, "10.0.0.1")};
         fleet.merge(records);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.members().members().size());
         CPPUNIT_ASSERT_EQUAL(std::string{"10.0.0.2"}, fleet.members().members().at("b").address);
     }
+
+    /// Connecting to an address that is none would throw on the traffic thread.
+    void records_that_name_no_daemon_are_ignored()
+    {
+        fleet_state fleet{{.daemon_id = "a"}};
+        fleet.merge(std::vector<member_record>{record("b", 1, "no address"), record("c", 1, ""),
+                                               record("d", 1, "10.0.0.1:80"), record("e", 1, "10.0.0.1", 0),
+                                               record(std::string(1000, 'f'), 1, "10.0.0.1"),
+                                               record("", 1, "10.0.0.1")});
+        CPPUNIT_ASSERT(fleet.members().members().empty());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_state_test);
 
@@ -134,6 +151,7 @@
 {
     CPPUNIT_TEST_SUITE(routing_config_test);
     CPPUNIT_TEST(longest_prefix_of_the_host_wins);
+    CPPUNIT_TEST(host_may_be_an_ipv6_address);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -149,6 +167,15 @@
         CPPUNIT_ASSERT(routes.find_route("h.example", "/a") == nullptr);
         CPPUNIT_ASSERT(routes.find_route("other.example", "/a/") == nullptr);
     }
+
+    void host_may_be_an_ipv6_address()
+    {
+        routing_config::contents decoded{.version = 1};
+        decoded.hosts.push_back({.host = "[::1]", .routes = {{.name = "n", .path_prefix = "/"}}});
+        const routing_config routes{std::move(decoded)};
+        CPPUNIT_ASSERT(routes.find_route("[::1]", "/a") != nullptr);
+        CPPUNIT_ASSERT(routes.find_route("[::1]:80", "/a") != nullptr);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(routing_config_test);
 
