Bound frames and retained replies, and count retries only when one is sent

Cause: a frame of five bytes between daemons that states four billion elements allocated them before they were read and ended the process with bad_alloc. NaN and negative rates, tokens and ratios from a peer were added to the fleet's sums. The exit kept each response until a second after its deadline without a limit on memory. A caller that read nothing kept its response for ever. retry_or_fail took a retry from the budget, and counted it, before it knew that an instance was available. The log lost the number of dropped lines if its buffer was full when it was to be written.

Change: decode_message limits stated sizes to the bytes that are there and the nesting to 32. A connection whose caller accepts nothing for the idle timeout is closed. The daemon is chosen before the retry is taken.

--- a/packages/protocol/include/laburnumreach/protocol/message_codec.hpp
+++ b/packages/protocol/include/laburnumreach/protocol/message_codec.hpp
@@ -45,7 +45,12 @@
     {
         std::size_t offset = 0;
         const auto* begin = reinterpret_cast<const char*>(bytes.data());
-        const msgpack::object_handle handle = msgpack::unpack(begin, bytes.size(), offset);
+        // A stated number of elements is allocated before they are read, so it must not exceed the bytes.
+        constexpr std::size_t max_depth = 32;
+        const std::size_t most = bytes.size();
+        const msgpack::unpack_limit limit{most, most, most, most, most, max_depth};
+        const msgpack::object_handle handle =
+            msgpack::unpack(begin, bytes.size(), offset, nullptr, nullptr, limit);
         if (offset != bytes.size())
         {
             return std::nullopt;
--- a/packages/sidecar/include/laburnumreach/sidecar/event_log.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/event_log.hpp
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <unistd.h>
 
 namespace laburnumreach::sidecar
 {
@@ -30,7 +31,8 @@
     static constexpr std::uint32_t max_request_lines_per_second = 150;
 
     /// @param daemon_id written on each line
-    explicit event_log(std::string daemon_id);
+    /// @param output_descriptor file descriptor to write to, which is made non-blocking
+    explicit event_log(std::string daemon_id, int output_descriptor = STDOUT_FILENO);
 
     /// Logs an event of one request, unless the rate limit is exceeded.
     void request_event(std::string_view event, std::initializer_list<event_field> fields);
@@ -42,11 +44,13 @@
     void flush();
 
 private:
-    void append(std::string_view event, std::initializer_list<event_field> fields);
+    void append_or_count(std::string_view event, std::initializer_list<event_field> fields);
+    bool append(std::string_view event, std::initializer_list<event_field> fields);
 
     /// Held while one line is formatted or the buffer is written, since the control thread logs too.
     std::mutex mutex;
     std::string daemon;
+    int output;
     std::string pending;
     core::time_point window_start{};
     std::uint32_t lines_in_window = 0;
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
@@ -200,6 +200,19 @@
     std::vector<member_record> members;
 };
 
+/// Returns whether the rates, tokens and ratios of a message are usable. A NaN or a negative amount would
+/// spoil the sums over all daemons.
+bool is_valid(const probe_message& message);
+bool is_valid(const probe_reply_message& message);
+bool is_valid(const token_request_message& message);
+
+/// The other messages carry no such values.
+template <typename Message>
+bool is_valid(const Message& /*message*/)
+{
+    return true;
+}
+
 } // namespace laburnumreach::sidecar
 
 namespace laburnumreach::protocol
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
@@ -4,6 +4,7 @@
 #include "laburnumreach/sidecar/change_tracker.hpp"
 #include "laburnumreach/sidecar/fleet_state.hpp"
 #include "laburnumreach/sidecar/instance_dispatcher.hpp"
+#include "laburnumreach/sidecar/retained_replies.hpp"
 #include "laburnumreach/sidecar/status_change_tracker.hpp"
 
 #include <functional>
@@ -58,9 +59,6 @@
         member_record sender;
         std::shared_ptr<frame_stream> stream;
         std::unordered_map<std::uint64_t, open_call> open_calls;
-        /// Kept to be sent again if the connection is lost.
-        std::unordered_map<std::uint64_t, reply_message> recent_replies;
-        std::set<std::pair<core::time_point, std::uint64_t>> reply_expiry;
         core::time_point disconnected_since{};
         change_tracker<call_ratio> ratio_tracker{min_ratio_change};
         status_change_tracker status_tracker;
@@ -69,6 +67,8 @@
 
     void on_frame(const std::shared_ptr<frame_stream>& stream, std::string& daemon_id, frame_type type,
                   std::span<const std::uint8_t> body);
+    template <typename Message>
+    std::optional<Message> read_frame(const std::string& daemon_id, std::span<const std::uint8_t> body);
     void on_probe(session& peer, const probe_message& probe);
     void on_hello(const std::shared_ptr<frame_stream>& stream, std::string& daemon_id,
                   const hello_message& hello);
@@ -82,6 +82,8 @@
     /// sender does not ask for a call after its deadline, so a finished call is never reported as not
     /// received.
     static constexpr core::duration reply_retention = std::chrono::seconds{1};
+    /// A tenth of the memory of the smallest VM.
+    static constexpr std::size_t max_retained_bytes = 16 * 1024 * 1024;
     /// Time without a connection until the calls of a daemon are cancelled.
     static constexpr core::duration disconnect_timeout = std::chrono::seconds{2};
 
@@ -94,6 +96,7 @@
     event_log& events;
     callbacks handlers;
     std::map<std::string, session> sessions;
+    retained_replies recent_replies{max_retained_bytes};
 };
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
@@ -106,6 +106,7 @@
     void request_token(const std::string& daemon_id, const token_request_message& request);
     void start_call(const std::shared_ptr<exchange>& request, const route& matched, const customer* owner,
                     core::time_point now);
+    const std::string* choose_daemon(const routed_call& call) const;
     bool try_place(routed_call& call);
     void send(routed_call& call, const std::string& daemon_id);
     void place_or_wait(routed_call& call);
--- a/packages/sidecar/include/laburnumreach/sidecar/send_queue.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/send_queue.hpp
@@ -1,6 +1,7 @@
 #ifndef LABURNUMREACH_SIDECAR_SEND_QUEUE_HPP
 #define LABURNUMREACH_SIDECAR_SEND_QUEUE_HPP
 
+#include "laburnumreach/core/time.hpp"
 #include "laburnumreach/sidecar/asio.hpp"
 
 #include <array>
@@ -28,9 +29,15 @@
             return;
         }
         this->in_progress = true;
+        this->progress_time = core::boot_clock::now();
         this->sending.swap(this->waiting);
         this->waiting.clear();
-        asio::async_write(socket, asio::buffer(this->sending),
+        const auto completion_condition = [this](const error_code& error, std::size_t count)
+        {
+            this->progress_time = core::boot_clock::now();
+            return asio::transfer_all()(error, count);
+        };
+        asio::async_write(socket, asio::buffer(this->sending), completion_condition,
                           [this, &socket, owner = std::move(owner),
                            ended = std::move(ended)](const error_code& error, std::size_t) mutable
                           {
@@ -50,12 +57,16 @@
                           });
     }
 
+    /// Returns the time at which the peer last accepted bytes.
+    core::time_point last_progress() const noexcept { return this->progress_time; }
+
     bool idle() const noexcept { return !this->in_progress && this->waiting.empty(); }
 
 private:
     std::string waiting;
     std::string sending;
     bool in_progress = false;
+    core::time_point progress_time{};
 };
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/src/event_log.cpp
+++ b/packages/sidecar/src/event_log.cpp
@@ -39,12 +39,13 @@
 
 } // namespace
 
-event_log::event_log(std::string daemon_id) : daemon(std::move(daemon_id))
+event_log::event_log(std::string daemon_id, int output_descriptor)
+    : daemon(std::move(daemon_id)), output(output_descriptor)
 {
-    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    const int flags = ::fcntl(this->output, F_GETFL);
     if (flags >= 0)
     {
-        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        ::fcntl(this->output, F_SETFL, flags | O_NONBLOCK);
     }
 }
 
@@ -56,9 +57,9 @@
     {
         this->window_start = now;
         this->lines_in_window = 0;
-        if (this->dropped_lines > 0)
+        if (this->dropped_lines > 0 &&
+            this->append("log_lines_left_out", {{"count", std::to_string(this->dropped_lines)}}))
         {
-            this->append("log_lines_left_out", {{"count", std::to_string(this->dropped_lines)}});
             this->dropped_lines = 0;
         }
     }
@@ -68,21 +69,29 @@
         return;
     }
     ++this->lines_in_window;
-    this->append(event, fields);
+    this->append_or_count(event, fields);
 }
 
 void event_log::state_event(std::string_view event, std::initializer_list<event_field> fields)
 {
     const std::lock_guard lock{this->mutex};
-    this->append(event, fields);
+    this->append_or_count(event, fields);
 }
 
-void event_log::append(std::string_view event, std::initializer_list<event_field> fields)
+void event_log::append_or_count(std::string_view event, std::initializer_list<event_field> fields)
 {
-    if (this->pending.size() > max_pending_bytes)
+    if (!this->append(event, fields))
     {
         ++this->dropped_lines;
-        return;
+    }
+}
+
+/// @returns false if the buffer is full; the line is then dropped
+bool event_log::append(std::string_view event, std::initializer_list<event_field> fields)
+{
+    if (this->pending.size() > max_pending_bytes)
+    {
+        return false;
     }
     this->pending +=
         "time_ms=" + std::to_string(core::wall_clock_ms()) + " daemon=" + this->daemon + " event=";
@@ -95,6 +104,7 @@
         append_value(this->pending, field.value);
     }
     this->pending += '\n';
+    return true;
 }
 
 void event_log::flush()
@@ -104,7 +114,7 @@
     {
         return;
     }
-    const ssize_t written = ::write(STDOUT_FILENO, this->pending.data(), this->pending.size());
+    const ssize_t written = ::write(this->output, this->pending.data(), this->pending.size());
     if (written > 0)
     {
         this->pending.erase(0, static_cast<std::size_t>(written));
--- a/packages/sidecar/src/peer_link.cpp
+++ b/packages/sidecar/src/peer_link.cpp
@@ -111,7 +111,8 @@
         }
         break;
     case frame_type::probe_reply:
-        if (const auto message = protocol::decode_message<probe_reply_message>(body))
+        if (const auto message = protocol::decode_message<probe_reply_message>(body);
+            message && is_valid(*message))
         {
             this->probe_outstanding = this->probe_outstanding && message->sequence != this->probe_sequence;
             if (!message->status.empty())
--- a/packages/sidecar/src/peer_server.cpp
+++ b/packages/sidecar/src/peer_server.cpp
@@ -39,12 +39,26 @@
         });
 }
 
+/// @returns no value if the message is malformed, which is logged
+template <typename Message>
+std::optional<Message> peer_server::read_frame(const std::string& daemon_id,
+                                               std::span<const std::uint8_t> body)
+{
+    std::optional<Message> message = protocol::decode_message<Message>(body);
+    if (!message || !is_valid(*message))
+    {
+        this->events.request_event("peer_malformed_frame", {{"peer", daemon_id}});
+        return std::nullopt;
+    }
+    return message;
+}
+
 void peer_server::on_frame(const std::shared_ptr<frame_stream>& stream, std::string& daemon_id,
                            frame_type type, std::span<const std::uint8_t> body)
 {
     if (type == frame_type::hello)
     {
-        if (const auto message = protocol::decode_message<hello_message>(body))
+        if (const auto message = this->read_frame<hello_message>(daemon_id, body))
         {
             this->on_hello(stream, daemon_id, *message);
         }
@@ -62,28 +76,28 @@
     }
     if (type == frame_type::call)
     {
-        if (auto message = protocol::decode_message<call_message>(body))
+        if (auto message = this->read_frame<call_message>(daemon_id, body))
         {
             this->on_call(daemon_id, std::move(*message));
         }
     }
     else if (type == frame_type::cancel)
     {
-        if (const auto message = protocol::decode_message<cancel_message>(body))
+        if (const auto message = this->read_frame<cancel_message>(daemon_id, body))
         {
             this->cancel_call(found->second, message->id);
         }
     }
     else if (type == frame_type::token_request)
     {
-        if (const auto message = protocol::decode_message<token_request_message>(body))
+        if (const auto message = this->read_frame<token_request_message>(daemon_id, body))
         {
             stream->send(frame_type::token_grant, this->handlers.on_token_request(*message));
         }
     }
     else if (type == frame_type::probe)
     {
-        if (const auto message = protocol::decode_message<probe_message>(body))
+        if (const auto message = this->read_frame<probe_message>(daemon_id, body))
         {
             this->on_probe(found->second, *message);
         }
@@ -122,6 +136,7 @@
     if (hello.sender.started_ms > peer.sender.started_ms)
     {
         this->cancel_all_calls(peer);
+        this->recent_replies.remove_all(daemon_id);
         peer = {};
     }
     peer.sender = hello.sender;
@@ -164,10 +179,9 @@
         {
             continue;
         }
-        const auto kept = peer.recent_replies.find(id);
-        if (kept != peer.recent_replies.end())
+        if (const reply_message* kept = this->recent_replies.find(hello.sender.daemon_id, id))
         {
-            peer.stream->send(frame_type::reply, kept->second);
+            peer.stream->send(frame_type::reply, *kept);
             continue;
         }
         peer.stream->send(frame_type::reply,
@@ -209,9 +223,8 @@
     {
         peer.stream->send(frame_type::reply, reply);
     }
-    const std::uint64_t id = reply.id;
-    peer.reply_expiry.emplace(std::max(deadline, core::boot_clock::now()) + reply_retention, id);
-    peer.recent_replies.insert_or_assign(id, std::move(reply));
+    this->recent_replies.add(daemon_id, std::move(reply),
+                             std::max(deadline, core::boot_clock::now()) + reply_retention);
 }
 
 void peer_server::cancel_call(session& peer, std::uint64_t call_id)
@@ -239,13 +252,9 @@
 
 void peer_server::tick(core::time_point now)
 {
+    this->recent_replies.expire(now);
     for (auto& [daemon_id, peer] : this->sessions)
     {
-        while (!peer.reply_expiry.empty() && peer.reply_expiry.begin()->first < now)
-        {
-            peer.recent_replies.erase(peer.reply_expiry.begin()->second);
-            peer.reply_expiry.erase(peer.reply_expiry.begin());
-        }
         if (peer.stream == nullptr && !peer.open_calls.empty() &&
             now - peer.disconnected_since > disconnect_timeout)
         {
--- a/packages/sidecar/src/request_router.cpp
+++ b/packages/sidecar/src/request_router.cpp
@@ -213,11 +213,17 @@
     }
 }
 
+/// @returns the daemon to send a call to; null if no instance is available now
+const std::string* request_router::choose_daemon(const routed_call& call) const
+{
+    return this->placement.choose(call.message.service, call.tried_daemons,
+                                  call.large_body ? large_body_choice : choice_options{});
+}
+
 /// @returns false if no instance is available now
 bool request_router::try_place(routed_call& call)
 {
-    const std::string* daemon_id = this->placement.choose(
-        call.message.service, call.tried_daemons, call.large_body ? large_body_choice : choice_options{});
+    const std::string* daemon_id = this->choose_daemon(call);
     if (daemon_id == nullptr)
     {
         return false;
@@ -324,14 +330,13 @@
     {
         retries.ratio = this->settings.parent_route_retry_ratio;
     }
-    if (allowed && this->retry_budgets[call.message.service].try_take(retries, now))
+    const std::string* daemon_id = allowed ? this->choose_daemon(call) : nullptr;
+    if (daemon_id != nullptr && this->retry_budgets[call.message.service].try_take(retries, now))
     {
         call.message.is_retry = true;
         this->counters.count("repeats_total", reason);
-        if (this->try_place(call))
-        {
-            return;
-        }
+        this->send(call, *daemon_id);
+        return;
     }
     if (call.may_have_run)
     {
--- a/packages/sidecar/src/server_connection.cpp
+++ b/packages/sidecar/src/server_connection.cpp
@@ -34,6 +34,11 @@
         return;
     }
     const caller_limits limits = this->context->limits();
+    if (!this->output.idle() && now - this->output.last_progress() > limits.idle_timeout)
+    {
+        this->close(); // The caller reads nothing of its response, which would be held for ever.
+        return;
+    }
     const bool incomplete = this->incoming != nullptr || !this->received.empty();
     if (this->open_exchanges.empty() && this->output.idle() &&
         now - this->last_activity > (incomplete ? limits.header_timeout : limits.idle_timeout))
--- a/packages/sidecar/tests/scripted_instance.hpp
+++ b/packages/sidecar/tests/scripted_instance.hpp
@@ -54,6 +54,8 @@
 
         void close() { this->socket.close(); }
 
+        tcp::socket::executor_type executor() { return this->socket.get_executor(); }
+
         bool closed_by_peer = false;
 
     private:
--- a/packages/sidecar/tests/server_connection_test.cpp
+++ b/packages/sidecar/tests/server_connection_test.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(chunked_body_is_read_in_parts);
     CPPUNIT_TEST(idle_connection_closes_after_its_limit);
     CPPUNIT_TEST(incomplete_head_closes_after_its_limit);
+    CPPUNIT_TEST(caller_that_reads_nothing_is_disconnected);
+    CPPUNIT_TEST(slow_caller_gets_the_whole_response);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,7 +164,45 @@
         CPPUNIT_ASSERT(!this->connection->is_open());
     }
 
+    void caller_that_reads_nothing_is_disconnected()
+    {
+        this->start_large_response();
+        const core::time_point now = core::boot_clock::now();
+        this->connection->check_timeouts(now + caller_limits{}.idle_timeout / 2);
+        CPPUNIT_ASSERT(this->connection->is_open());
+        this->connection->check_timeouts(now + caller_limits{}.idle_timeout + 1s);
+        CPPUNIT_ASSERT(!this->connection->is_open());
+    }
+
+    /// The timeout begins again with each part that the caller accepts.
+    void slow_caller_gets_the_whole_response()
+    {
+        this->start_large_response();
+        std::size_t total = 0;
+        for (std::string part = this->received(); !part.empty(); part = this->received())
+        {
+            total += part.size();
+            this->run();
+            this->connection->check_timeouts(core::boot_clock::now() + caller_limits{}.idle_timeout - 1s);
+            CPPUNIT_ASSERT(this->connection->is_open());
+        }
+        CPPUNIT_ASSERT(total > large_body_bytes);
+    }
+
 private:
+    /// More than the buffers of both sockets hold.
+    static constexpr std::size_t large_body_bytes = 32 * 1024 * 1024;
+
+    void start_large_response()
+    {
+        this->connection->start();
+        this->send(get("/a"));
+        this->run();
+        this->requests.at(0)->respond(
+            {.status = 200, .fields = {}, .body = std::string(large_body_bytes, 'a')});
+        this->run();
+    }
+
     void send(const std::string& bytes) { asio::write(this->caller, asio::buffer(bytes)); }
 
     /// Runs the event loop until no event is ready for 20 ms.
@@ -178,7 +218,7 @@
     std::string received()
     {
         this->caller.non_blocking(true);
-        std::string bytes(64 * 1024, '\0');
+        std::string bytes(4 * 1024 * 1024, '\0');
         error_code error; // Without bytes to read, the result is empty.
         bytes.resize(this->caller.read_some(asio::buffer(bytes), error));
         this->caller.non_blocking(false);
