Apply settings that change while traffic runs

Cause: SIGHUP was logged and not applied. Change: the settings file is read again. The grace time, the drain limit and the retry budget take effect at once; a changed identity, address or listener is logged as reload_needs_restart; a file with an error changes nothing and is logged with line and column. No listener or connection is touched. The retry budget of a route is derived when it is used. A changed file without a signal is not noticed.

--- /dev/null
+++ b/packages/sidecar/include/laburnumreach/sidecar/fleet_retry_settings.hpp
@@ -0,0 +1,43 @@
+#ifndef LABURNUMREACH_SIDECAR_FLEET_RETRY_SETTINGS_HPP
+#define LABURNUMREACH_SIDECAR_FLEET_RETRY_SETTINGS_HPP
+
+#include "laburnumreach/config/sidecar_settings.hpp"
+#include "laburnumreach/core/time.hpp"
+
+namespace laburnumreach::sidecar
+{
+
+/// Settings of the retries of one daemon, derived from those of the whole fleet.
+struct fleet_retry_settings
+{
+    /// Retries for each request of a route whose runs make no nested calls.
+    double leaf_route_ratio = 0;
+    /// Retries for each request of a route whose runs do, since a retry also repeats the nested calls at
+    /// downstream services.
+    double parent_route_ratio = 0;
+    /// Retries that the whole fleet may send within the window in addition to the ratio.
+    double fleet_slack = 0;
+    core::duration window = std::chrono::seconds{10};
+};
+
+/// Derives the retry settings of a daemon.
+inline fleet_retry_settings make_retry_settings(const config::sidecar_settings& settings)
+{
+    // Nested calls of a retried run count as retries too, so the shares of a call chain add up.
+    constexpr double leaf_route_share = 0.75;
+    constexpr double parent_route_share = 0.05;
+    return {.leaf_route_ratio = leaf_route_share * settings.retry_ratio,
+            .parent_route_ratio = parent_route_share * settings.retry_ratio,
+            .fleet_slack = settings.retry_slack,
+            .window = settings.retry_window};
+}
+
+/// Returns the time after its deregistration in which an instance still gets calls.
+inline core::duration work_drain_limit(const config::sidecar_settings& settings)
+{
+    return settings.drain_limit / 2;
+}
+
+} // namespace laburnumreach::sidecar
+
+#endif
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -60,6 +60,9 @@
     /// still arrive are run.
     void announce_draining() { this->draining = true; }
 
+    /// Replaces options::drain_limit.
+    void set_drain_limit(core::duration limit) { this->settings.drain_limit = limit; }
+
     /// Refuses new calls from now on.
     void refuse_new_calls() { this->refusing_new_calls = true; }
 
--- a/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
@@ -5,6 +5,7 @@
 #include "laburnumreach/sidecar/customer_admission.hpp"
 #include "laburnumreach/sidecar/event_log.hpp"
 #include "laburnumreach/sidecar/exchange.hpp"
+#include "laburnumreach/sidecar/fleet_retry_settings.hpp"
 #include "laburnumreach/sidecar/header_names.hpp"
 #include "laburnumreach/sidecar/instance_dispatcher.hpp"
 #include "laburnumreach/sidecar/instance_placement.hpp"
@@ -37,12 +38,7 @@
         std::string zone;
         std::string service; ///< Service of the upstream on this VM.
         header_names names;
-        retry_budget_options retries;
-        /// Retry ratio for routes whose runs make nested calls, since a retry also repeats the nested calls
-        /// at downstream services.
-        double parent_route_retry_ratio = 0;
-        /// Retries that the whole fleet may send within the window in addition to the ratio.
-        double fleet_retry_slack = 0;
+        fleet_retry_settings retries;
         customer_limiter_options limiter;
     };
 
@@ -88,6 +84,9 @@
     /// Sets the number of daemons in the fleet, this one included.
     void set_daemon_count(std::size_t count);
 
+    /// Replaces the retry settings.
+    void set_retry_settings(const fleet_retry_settings& retries) { this->settings.retries = retries; }
+
     customer_admission& admission() noexcept { return this->admissions; }
     load_shedder& shedder() noexcept { return this->overload_shedder; }
 
@@ -106,6 +105,7 @@
     void request_token(const std::string& daemon_id, const token_request_message& request);
     void start_call(const std::shared_ptr<exchange>& request, const route& matched, const customer* owner,
                     core::time_point now);
+    retry_budget_options retry_options(const std::string& route_name) const;
     const std::string* choose_daemon(const routed_call& call) const;
     bool try_place(routed_call& call);
     void send(routed_call& call, const std::string& daemon_id);
@@ -143,6 +143,7 @@
     zone_demand_aggregator own_zone_demand;
     demand_report own_zone_total; ///< Total demand of the own zone, as of the last measurement.
     bool reports_zone_demand = true;
+    std::size_t daemon_count = 1;
     std::uint64_t next_call_id = 1;
     bool refusing_new_calls = false;
 };
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -33,6 +33,15 @@
     /// Serves until a stop signal arrives and the open requests have ended, or the grace time is over.
     void run();
 
+    /// Reads the settings file again and applies what may change while traffic runs; called for SIGHUP. A
+    /// file with an error changes nothing. Traffic thread only.
+    void reload();
+
+    /// Reads the settings file. Set it before run().
+    std::function<config::parse_result<config::sidecar_settings>()> load_settings;
+
+    const config::sidecar_settings& active_settings() const noexcept { return this->settings; }
+
     /// Passes a configuration read from the store to the traffic thread. Thread safe.
     void post_config(stored_config loaded);
 
--- a/packages/sidecar/src/request_router.cpp
+++ b/packages/sidecar/src/request_router.cpp
@@ -60,10 +60,19 @@
 void request_router::set_daemon_count(std::size_t count)
 {
     this->admissions.set_daemon_count(count);
+    this->daemon_count = count;
+}
+
+/// Returns the retry budget of this daemon for a service, as it applies to a route.
+retry_budget_options request_router::retry_options(const std::string& route_name) const
+{
     // The rest is reserved for retries caused by retries of services earlier in the call chain.
     constexpr double used_slack_share = 0.5;
-    this->settings.retries.slack =
-        used_slack_share * this->settings.fleet_retry_slack / static_cast<double>(count);
+    const fleet_retry_settings& retries = this->settings.retries;
+    return {.ratio = this->overload_shedder.makes_nested_calls(route_name) ? retries.parent_route_ratio
+                                                                           : retries.leaf_route_ratio,
+            .slack = used_slack_share * retries.fleet_slack / static_cast<double>(this->daemon_count),
+            .window = retries.window};
 }
 
 void request_router::handle(const std::shared_ptr<exchange>& request)
@@ -325,13 +334,9 @@
     }
     const bool allowed = (!call.may_have_run || call.message.idempotent) && call.instances_used > 0 &&
                          call.instances_used < call.max_instances && now < call.deadline;
-    retry_budget_options retries = this->settings.retries;
-    if (this->overload_shedder.makes_nested_calls(call.message.route))
-    {
-        retries.ratio = this->settings.parent_route_retry_ratio;
-    }
     const std::string* daemon_id = allowed ? this->choose_daemon(call) : nullptr;
-    if (daemon_id != nullptr && this->retry_budgets[call.message.service].try_take(retries, now))
+    if (daemon_id != nullptr &&
+        this->retry_budgets[call.message.service].try_take(this->retry_options(call.message.route), now))
     {
         call.message.is_retry = true;
         this->counters.count("repeats_total", reason);
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -16,19 +16,6 @@
 constexpr auto tick_interval = std::chrono::milliseconds{10};
 constexpr core::duration connection_check_interval = std::chrono::milliseconds{500};
 constexpr core::duration measurement_interval = std::chrono::milliseconds{250};
-/// Time after a stop signal for which new requests are served: it takes 2 s until readiness checks direct
-/// callers to other daemons.
-constexpr core::duration request_grace_time = std::chrono::milliseconds{2500};
-/// Time after a stop signal for which the instance still gets new calls. Its runs then end while callers move
-/// to other daemons.
-constexpr core::duration work_grace_time = std::chrono::milliseconds{1500};
-/// Part of the grace time reserved for shutdown; a store call of the control thread can take more than 0.5 s.
-constexpr core::duration stop_margin = std::chrono::milliseconds{900};
-/// Shares of the fleet's retry ratio that each daemon uses for routes whose runs make no nested calls, and
-/// for routes whose runs do. Nested calls of a retried run count as retries too, so the shares of a call
-/// chain add up.
-constexpr double leaf_route_retry_share = 0.75;
-constexpr double parent_route_retry_share = 0.05;
 /// Time after the start for which links to other daemons are being established: reading the list of members,
 /// connecting and the handshake, with one retry.
 constexpr core::duration link_settle_time = std::chrono::milliseconds{1500};
@@ -68,7 +55,7 @@
           this->io,
           {.instance_address = make_endpoint(this->settings.upstream.address, this->settings.upstream.port),
            .names = this->platform.headers,
-           .drain_limit = this->settings.drain_limit / 2},
+           .drain_limit = work_drain_limit(this->settings)},
           this->instance, log, this->counters),
       peers(this->dispatcher, this->fleet, log,
             {.ratios = [this] { return this->ratio_estimator.ratios(); },
@@ -84,10 +71,7 @@
               .zone = this->settings.zone,
               .service = this->settings.service,
               .names = this->platform.headers,
-              .retries = {.ratio = leaf_route_retry_share * this->settings.retry_ratio,
-                          .window = this->settings.retry_window},
-              .parent_route_retry_ratio = parent_route_retry_share * this->settings.retry_ratio,
-              .fleet_retry_slack = this->settings.retry_slack,
+              .retries = make_retry_settings(this->settings),
               .limiter = {.full_at_start = this->settings.first_start}},
              this->dispatcher, log, this->counters),
       link_callbacks(this->make_link_callbacks())
@@ -171,7 +155,7 @@
             }
             if (signal == SIGHUP)
             {
-                this->events.state_event("reload_requested");
+                this->reload();
             }
             else
             {
@@ -462,38 +446,4 @@
                       .body = this->counters.text()});
 }
 
-void sidecar_daemon::begin_stop()
-{
-    if (this->stop_requested)
-    {
-        return;
-    }
-    this->stop_requested = core::boot_clock::now();
-    this->events.state_event("stopping", {{"entry_calls", std::to_string(this->router.open_calls())},
-                                          {"exit_calls", std::to_string(this->dispatcher.open_calls())}});
-}
-
-void sidecar_daemon::continue_stop(core::time_point now)
-{
-    const core::duration elapsed = now - *this->stop_requested;
-    if (elapsed > work_grace_time && !this->stop_announced)
-    {
-        this->stop_announced = true;
-        this->dispatcher.announce_draining();
-        this->refresh_own_status();
-    }
-    if (elapsed > request_grace_time)
-    {
-        this->outbound->close_when_answered();
-        this->router.refuse_new_calls();
-        this->dispatcher.refuse_new_calls();
-    }
-    const bool idle = this->router.open_calls() == 0 && this->dispatcher.open_calls() == 0 &&
-                      this->outbound->unanswered() == 0;
-    if ((elapsed > request_grace_time && idle) || elapsed > this->settings.stop_grace - stop_margin)
-    {
-        this->io.stop();
-    }
-}
-
 } // namespace laburnumreach::sidecar
--- /dev/null
+++ b/packages/sidecar/src/sidecar_daemon_lifecycle.cpp
@@ -0,0 +1,83 @@
+#include "laburnumreach/config/sidecar_settings_change.hpp"
+#include "laburnumreach/sidecar/sidecar_daemon.hpp"
+
+namespace laburnumreach::sidecar
+{
+
+namespace
+{
+
+/// Time after a stop signal for which new requests are served: it takes 2 s until readiness checks direct
+/// callers to other daemons.
+constexpr core::duration request_grace_time = std::chrono::milliseconds{2500};
+/// Time after a stop signal for which the instance still gets new calls. Its runs then end while callers move
+/// to other daemons.
+constexpr core::duration work_grace_time = std::chrono::milliseconds{1500};
+/// Part of the grace time reserved for shutdown; a store call of the control thread can take more than 0.5 s.
+constexpr core::duration stop_margin = std::chrono::milliseconds{900};
+
+} // namespace
+
+/// Applies the settings that may change while traffic runs. Settings that cannot be read change nothing.
+void sidecar_daemon::reload()
+{
+    const auto loaded = this->load_settings();
+    if (!loaded)
+    {
+        this->events.state_event("reload_failed", {{"cause", config::to_string(loaded.error())}});
+        return;
+    }
+    for (const std::string& name : config::changes_that_need_a_restart(this->settings, *loaded))
+    {
+        this->events.state_event("reload_needs_restart", {{"setting", name}});
+    }
+    this->settings.stop_grace = loaded->stop_grace;
+    this->settings.drain_limit = loaded->drain_limit;
+    this->settings.retry_ratio = loaded->retry_ratio;
+    this->settings.retry_slack = loaded->retry_slack;
+    this->settings.retry_window = loaded->retry_window;
+    this->dispatcher.set_drain_limit(work_drain_limit(this->settings));
+    this->router.set_retry_settings(make_retry_settings(this->settings));
+    this->events.state_event("reloaded",
+                             {{"stop_grace_ms", std::to_string(this->settings.stop_grace.count())},
+                              {"drain_ms", std::to_string(this->settings.drain_limit.count())},
+                              {"retry_ratio", std::to_string(this->settings.retry_ratio)},
+                              {"retry_slack", std::to_string(this->settings.retry_slack)},
+                              {"retry_window_ms", std::to_string(this->settings.retry_window.count())}});
+}
+
+void sidecar_daemon::begin_stop()
+{
+    if (this->stop_requested)
+    {
+        return;
+    }
+    this->stop_requested = core::boot_clock::now();
+    this->events.state_event("stopping", {{"entry_calls", std::to_string(this->router.open_calls())},
+                                          {"exit_calls", std::to_string(this->dispatcher.open_calls())}});
+}
+
+void sidecar_daemon::continue_stop(core::time_point now)
+{
+    const core::duration elapsed = now - *this->stop_requested;
+    if (elapsed > work_grace_time && !this->stop_announced)
+    {
+        this->stop_announced = true;
+        this->dispatcher.announce_draining();
+        this->refresh_own_status();
+    }
+    if (elapsed > request_grace_time)
+    {
+        this->outbound->close_when_answered();
+        this->router.refuse_new_calls();
+        this->dispatcher.refuse_new_calls();
+    }
+    const bool idle = this->router.open_calls() == 0 && this->dispatcher.open_calls() == 0 &&
+                      this->outbound->unanswered() == 0;
+    if ((elapsed > request_grace_time && idle) || elapsed > this->settings.stop_grace - stop_margin)
+    {
+        this->io.stop();
+    }
+}
+
+} // namespace laburnumreach::sidecar
--- a/packages/sidecar/tests/request_router_test.cpp
+++ b/packages/sidecar/tests/request_router_test.cpp
@@ -110,7 +110,7 @@
                            .zone = "z",
                            .service = "s",
                            .names = this->names,
-                           .retries = {.ratio = 0.2, .slack = 10}},
+                           .retries = {.leaf_route_ratio = 0.2, .fleet_slack = 20}},
                           this->dispatcher,
                           this->log,
                           this->metrics};
