--- a/packages/sidecar/src/request_router.cpp
+++ b/packages/sidecar/src/request_router.cpp
@@ -63,18 +63,6 @@
     this->daemon_count = count;
 }
 
-/// Returns the retry budget of this daemon for a service, as it applies to a route.
-retry_budget_options request_router::retry_options(const std::string& route_name) const
-{
-    // The rest is reserved for retries caused by retries of services earlier in the call chain.
-    constexpr double used_slack_share = 0.5;
-    const fleet_retry_settings& retries = this->settings.retries;
-    return {.ratio = this->overload_shedder.makes_nested_calls(route_name) ? retries.parent_route_ratio
-                                                                           : retries.leaf_route_ratio,
-            .slack = used_slack_share * retries.fleet_slack / static_cast<double>(this->daemon_count),
-            .window = retries.window};
-}
-
 void request_router::handle(const std::shared_ptr<exchange>& request)
 {
     const core::time_point now = request->received;
@@ -320,96 +308,6 @@
     this->retry_or_fail(found->second, true, call_reason::link_lost);
 }
 
-/// Sends a call to another instance if its route and the retry budget allow it; otherwise ends it with an
-/// error.
-void request_router::retry_or_fail(routed_call& call, bool may_have_run, std::string_view reason)
-{
-    const core::time_point now = core::boot_clock::now();
-    call.may_have_run = call.may_have_run || may_have_run;
-    call.last_reason = reason;
-    if (!call.daemon_id.empty())
-    {
-        ++call.instances_used;
-        call.tried_daemons.push_back(std::exchange(call.daemon_id, {}));
-    }
-    const bool allowed = (!call.may_have_run || call.message.idempotent) && call.instances_used > 0 &&
-                         call.instances_used < call.max_instances && now < call.deadline;
-    const std::string* daemon_id = allowed ? this->choose_daemon(call) : nullptr;
-    if (daemon_id != nullptr &&
-        this->retry_budgets[call.message.service].try_take(this->retry_options(call.message.route), now))
-    {
-        call.message.is_retry = true;
-        this->counters.count("repeats_total", reason);
-        this->send(call, *daemon_id);
-        return;
-    }
-    if (call.may_have_run)
-    {
-        this->refuse_call(
-            call, now >= call.deadline ? http_status::gateway_timeout : http_status::bad_gateway, reason);
-        return;
-    }
-    this->refuse_call(call, http_status::unavailable, reason, this->retry_delay(call.latency_objective));
-}
-
-void request_router::respond(routed_call& call, http_response response, std::string_view outcome)
-{
-    const core::duration elapsed = core::boot_clock::now() - call.received;
-    this->counters.request_latency.add(to_ms(elapsed));
-    this->counters.count("requests_total", outcome);
-    this->by_deadline.erase({call.deadline, call.id});
-    this->unplaced.erase(call.id);
-    if (response.status >= http_status::first_server_error || elapsed > call.latency_objective)
-    {
-        this->events.request_event("request_ended",
-                                   {{"request", call.message.attempt_id},
-                                    {"route", call.message.route},
-                                    {"service", call.message.service},
-                                    {"config", std::to_string(this->config->version())},
-                                    {"status", std::to_string(response.status)},
-                                    {"outcome", std::string{outcome}},
-                                    {"reason", call.last_reason},
-                                    {"peer", call.daemon_id},
-                                    {"placements", std::to_string(call.tried_daemons.size() + 1)},
-                                    {"took_ms", std::to_string(to_ms(elapsed))}});
-    }
-    const std::shared_ptr<exchange> request = std::move(call.request);
-    this->calls.erase(call.id);
-    request->respond(std::move(response));
-}
-
-void request_router::refuse_call(routed_call& call, int status, std::string_view reason,
-                                 core::duration retry_after)
-{
-    http_response response{.status = status,
-                           .fields = this->settings.names.attempt_id + ": " + call.message.attempt_id +
-                                     "\r\n" + retry_after_field(retry_after)};
-    call.last_reason = reason;
-    if (status == http_status::unavailable)
-    {
-        this->admissions.refund(call.customer); // Status 503 states that the request has not run.
-    }
-    this->counters.count("refusals_total", reason);
-    this->respond(call, std::move(response), "refused");
-}
-
-void request_router::refuse_request(exchange& request, int status, std::string_view reason,
-                                    core::duration retry_after)
-{
-    const std::string attempt_id{http::find_header(request.head.headers, this->settings.names.attempt_id)};
-    this->counters.count("refusals_total", reason);
-    this->events.request_event(
-        "request_refused",
-        {{"request", attempt_id},
-         {"status", std::to_string(status)},
-         {"reason", std::string{reason}},
-         {"target", request.head.target},
-         {"config", std::to_string(this->config == nullptr ? 0 : this->config->version())}});
-    request.respond({.status = status,
-                     .fields = this->settings.names.attempt_id + ": " + attempt_id + "\r\n" +
-                               retry_after_field(retry_after)});
-}
-
 void request_router::cancel_at_daemon(routed_call& call)
 {
     if (call.daemon_id == this->settings.daemon_id)
