Read no byte past a response head that is only a version

Cause: parse_response_head read line[8] of the line "HTTP/1.1" of eight bytes. Heads from find_head_end end with CR LF, so it hit the CR there. Change: the length of the line is checked first. Result: the fuzz test with the address sanitizer ends with a heap-buffer-overflow on the corpus input bare_response_head/version_only without the change.

--- a/packages/http/src/message_head.cpp
+++ b/packages/http/src/message_head.cpp
@@ -227,9 +227,9 @@
     }
     const std::string_view status = line.substr(std::min(line.size(), status_begin), status_digits);
     const std::string_view phrase = line.substr(std::min(line.size(), status_begin + status_digits));
-    if (line[status_begin - 1] != ' ' || status.size() != status_digits || status.front() == '0' ||
-        !std::all_of(status.begin(), status.end(), is_digit) || (!phrase.empty() && phrase.front() != ' ') ||
-        !is_valid_field("phrase", phrase))
+    if (line.size() < status_begin || line[status_begin - 1] != ' ' || status.size() != status_digits ||
+        status.front() == '0' || !std::all_of(status.begin(), status.end(), is_digit) ||
+        (!phrase.empty() && phrase.front() != ' ') || !is_valid_field("phrase", phrase))
     {
         return tl::unexpected{message_error::malformed_start_line};
     }
