--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,3 +13,6 @@
 cmake -S examples/embed -B "$build_dir/embed" -DCMAKE_PREFIX_PATH="$build_dir/embed-prefix" >/dev/null
 cmake --build "$build_dir/embed"
 "$build_dir/embed/embed_example"
+
+# What is known to fail is not run above; it stays in sight here.
+cat KNOWN-RED.txt
