Give retries no slack before the number of daemons is known

Many daemons that start without the store could each have used half of the fleet's slack. Change: make_retry_budget derives the budget and is tested by itself; zero daemons have no slack. Result: request_router_test has a test of it.

--- a/packages/sidecar/include/laburnumreach/sidecar/fleet_retry_settings.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/fleet_retry_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "laburnumreach/config/sidecar_settings.hpp"
 #include "laburnumreach/core/time.hpp"
+#include "laburnumreach/sidecar/retry_budget.hpp"
 
 namespace laburnumreach::sidecar
 {
@@ -32,6 +33,21 @@
             .window = settings.retry_window};
 }
 
+/// Derives the retry budget of one daemon for one service.
+/// @param makes_nested_calls whether runs of the route make nested calls
+/// @param daemon_count number of daemons that share the slack; zero while it is unknown, then there is none
+inline retry_budget_options make_retry_budget(const fleet_retry_settings& retries, bool makes_nested_calls,
+                                              std::size_t daemon_count)
+{
+    // The rest is reserved for retries caused by retries of services earlier in the call chain.
+    constexpr double used_slack_share = 0.5;
+    return {.ratio = makes_nested_calls ? retries.parent_route_ratio : retries.leaf_route_ratio,
+            .slack = daemon_count == 0
+                         ? 0.0
+                         : used_slack_share * retries.fleet_slack / static_cast<double>(daemon_count),
+            .window = retries.window};
+}
+
 /// Returns the time after its deregistration in which an instance still gets calls.
 inline core::duration work_drain_limit(const config::sidecar_settings& settings)
 {
--- a/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
@@ -105,7 +105,6 @@
     void request_token(const std::string& daemon_id, const token_request_message& request);
     void start_call(const std::shared_ptr<exchange>& request, const route& matched, const customer* owner,
                     core::time_point now);
-    retry_budget_options retry_options(const std::string& route_name) const;
     const std::string* choose_daemon(const routed_call& call) const;
     bool try_place(routed_call& call);
     void send(routed_call& call, const std::string& daemon_id);
@@ -143,7 +142,7 @@
     zone_demand_aggregator own_zone_demand;
     demand_report own_zone_total; ///< Total demand of the own zone, as of the last measurement.
     bool reports_zone_demand = true;
-    std::size_t daemon_count = 1;
+    std::size_t daemon_count = 0; ///< Zero before it is known.
     std::uint64_t next_call_id = 1;
     bool refusing_new_calls = false;
 };
--- a/packages/sidecar/src/request_router_outcome.cpp
+++ b/packages/sidecar/src/request_router_outcome.cpp
@@ -7,18 +7,6 @@
 namespace laburnumreach::sidecar
 {
 
-/// Returns the retry budget of this daemon for a service, as it applies to a route.
-retry_budget_options request_router::retry_options(const std::string& route_name) const
-{
-    // The rest is reserved for retries caused by retries of services earlier in the call chain.
-    constexpr double used_slack_share = 0.5;
-    const fleet_retry_settings& retries = this->settings.retries;
-    return {.ratio = this->overload_shedder.makes_nested_calls(route_name) ? retries.parent_route_ratio
-                                                                           : retries.leaf_route_ratio,
-            .slack = used_slack_share * retries.fleet_slack / static_cast<double>(this->daemon_count),
-            .window = retries.window};
-}
-
 /// Sends a call to another instance if its route and the retry budget allow it; otherwise ends it with an
 /// error.
 void request_router::retry_or_fail(routed_call& call, bool may_have_run, std::string_view reason)
@@ -34,8 +22,10 @@
     const bool allowed = (!call.may_have_run || call.message.idempotent) && call.instances_used > 0 &&
                          call.instances_used < call.max_instances && now < call.deadline;
     const std::string* daemon_id = allowed ? this->choose_daemon(call) : nullptr;
-    if (daemon_id != nullptr &&
-        this->retry_budgets[call.message.service].try_take(this->retry_options(call.message.route), now))
+    const retry_budget_options budget =
+        make_retry_budget(this->settings.retries,
+                          this->overload_shedder.makes_nested_calls(call.message.route), this->daemon_count);
+    if (daemon_id != nullptr && this->retry_budgets[call.message.service].try_take(budget, now))
     {
         call.message.is_retry = true;
         this->counters.count("repeats_total", reason);
--- a/packages/sidecar/tests/request_router_test.cpp
+++ b/packages/sidecar/tests/request_router_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST_SUITE(request_router_test);
     CPPUNIT_TEST(rejected_request_without_another_instance_takes_no_retry);
     CPPUNIT_TEST(broken_download_without_another_instance_is_a_bad_gateway);
+    CPPUNIT_TEST(retries_have_no_slack_before_the_fleet_is_known);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -32,6 +33,7 @@
                                            .latency_objective = 1s,
                                            .destinations = {{.service = "s"}}}}});
         this->router.configure(std::make_shared<const routing_config>(std::move(parts)));
+        this->router.set_daemon_count(1);
         this->router.on_status("d", this->dispatcher.status());
     }
 
@@ -53,14 +55,25 @@
         {
             peer.send(
                 "HTTP/1.1 200 OK\r\nX-Attempt: a-1\r\nX-Signature: s\r\nContent-Length: 50\r\n\r\npart");
-            this_peer_closes(peer);
+            close_after_the_response(peer);
         };
         CPPUNIT_ASSERT_EQUAL(502, this->status_of_request());
         CPPUNIT_ASSERT(this->metrics.text().find("repeats_total") == std::string::npos);
     }
 
+    /// Otherwise each of many daemons that start without the store would use the slack of the whole fleet.
+    void retries_have_no_slack_before_the_fleet_is_known()
+    {
+        const fleet_retry_settings retries{
+            .leaf_route_ratio = 0.2, .parent_route_ratio = 0.1, .fleet_slack = 40};
+        CPPUNIT_ASSERT_EQUAL(0.0, make_retry_budget(retries, false, 0).slack);
+        CPPUNIT_ASSERT_EQUAL(2.0, make_retry_budget(retries, false, 10).slack);
+        CPPUNIT_ASSERT_EQUAL(0.2, make_retry_budget(retries, false, 10).ratio);
+        CPPUNIT_ASSERT_EQUAL(0.1, make_retry_budget(retries, true, 10).ratio);
+    }
+
 private:
-    static void this_peer_closes(scripted_instance::connection& peer)
+    static void close_after_the_response(scripted_instance::connection& peer)
     {
         asio::post(peer.executor(), [held = peer.shared_from_this()]
                    { asio::post(held->executor(), [held] { held->close(); }); });
