Mend four faults that were noticed by reading

Cause: a port of a wrong type was read as 1, so a second one was also reported as its duplicate; a contact age from the wire above 292 years overflowed and counted as recent contact; connection_table ignored a failed epoll_ctl, so the connection was kept until its timeout. Change: each value or failure is checked where it arises; a connection that cannot be watched is closed.

--- a/packages/config/src/daemon_settings_toml.cpp
+++ b/packages/config/src/daemon_settings_toml.cpp
@@ -80,11 +80,16 @@
     {
         const std::string_view name = ports[index].first;
         std::uint16_t* const port = ports[index].second;
-        const bool is_present = section.has(name);
-        *port = static_cast<std::uint16_t>(section.integer(name, std::nullopt, 1, 65535));
+        const std::optional<std::int64_t> number = section.required_integer(name, 1, 65535);
+        if (!number)
+        {
+            *port = 0; // Reported already; no other port is a duplicate of it.
+            continue;
+        }
+        *port = static_cast<std::uint16_t>(*number);
         const auto duplicate = std::find_if(ports.begin(), ports.begin() + static_cast<std::ptrdiff_t>(index),
                                             [&](const auto& other) { return *other.second == *port; });
-        if (is_present && duplicate != ports.begin() + static_cast<std::ptrdiff_t>(index))
+        if (duplicate != ports.begin() + static_cast<std::ptrdiff_t>(index))
         {
             section.add_error(name, "'" + std::string{name} + "' has the same port as '" +
                                         std::string{duplicate->first} + "'");
--- a/packages/config/src/toml_reader.cpp
+++ b/packages/config/src/toml_reader.cpp
@@ -117,22 +117,29 @@
 
 std::int64_t toml_reader::integer(std::string_view name, std::optional<std::int64_t> fallback,
                                   std::int64_t min, std::int64_t max)
+{
+    if (fallback && this->find(name) == nullptr)
+    {
+        return *fallback;
+    }
+    return this->required_integer(name, min, max).value_or(fallback.value_or(min));
+}
+
+std::optional<std::int64_t> toml_reader::required_integer(std::string_view name, std::int64_t min,
+                                                          std::int64_t max)
 {
     const toml::node* node = this->find(name);
     if (node == nullptr)
     {
-        if (!fallback)
-        {
-            this->add_error(name, quoted(name) + " is missing");
-        }
-        return fallback.value_or(min);
+        this->add_error(name, quoted(name) + " is missing");
+        return std::nullopt;
     }
     const auto* value = node->as_integer();
     if (value == nullptr || value->get() < min || value->get() > max)
     {
         this->add_error(name, quoted(name) + " must be an integer from " + std::to_string(min) + " to " +
                                   std::to_string(max));
-        return fallback.value_or(min);
+        return std::nullopt;
     }
     return value->get();
 }
--- a/packages/config/src/toml_reader.hpp
+++ b/packages/config/src/toml_reader.hpp
@@ -71,6 +71,10 @@
     std::int64_t integer(std::string_view name, std::optional<std::int64_t> fallback, std::int64_t min,
                          std::int64_t max);
 
+    /// Reads an integer from min to max.
+    /// @returns no value, and adds an error, if it is missing or another value
+    std::optional<std::int64_t> required_integer(std::string_view name, std::int64_t min, std::int64_t max);
+
     /// Reads a finite number within bounds, written as a TOML float or integer; a missing one is an error
     /// unless there is a fallback.
     double number(std::string_view name, std::optional<double> fallback, const number_bounds& bounds);
--- a/packages/config/tests/daemon_settings_test.cpp
+++ b/packages/config/tests/daemon_settings_test.cpp
@@ -78,6 +78,7 @@
     CPPUNIT_TEST_SUITE(daemon_settings_test);
     CPPUNIT_TEST(valid_settings_are_read);
     CPPUNIT_TEST(each_error_is_reported_at_its_line);
+    CPPUNIT_TEST(port_of_a_wrong_type_is_no_duplicate);
     CPPUNIT_TEST(secret_file_is_read_without_its_line_feed);
     CPPUNIT_TEST(documents_round_trip);
     CPPUNIT_TEST(invalid_documents_are_rejected);
@@ -108,6 +109,20 @@
         }
     }
 
+    void port_of_a_wrong_type_is_no_duplicate()
+    {
+        for (const std::string_view text : {"callers = \"x\"\npeers = 0.5", "callers = true\npeers = 1"})
+        {
+            const auto settings =
+                parse_daemon_settings(with_replacement("callers = 7001\npeers = 7002", text), ".");
+            CPPUNIT_ASSERT(!settings);
+            for (const parse_error& found : settings.error())
+            {
+                CPPUNIT_ASSERT_MESSAGE(found.reason, found.reason.find("same port") == std::string::npos);
+            }
+        }
+    }
+
     void secret_file_is_read_without_its_line_feed()
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "settings-XXXXXX").string();
--- a/packages/http/src/connection_table.cpp
+++ b/packages/http/src/connection_table.cpp
@@ -81,18 +81,23 @@
     connection.discarded = 0;
     this->counters.open_connections.fetch_add(1);
     // Registered without events; park() enables them.
-    this->arm(connection, true);
+    if (!this->arm(connection, true))
+    {
+        this->close_locked(connection);
+        return nullptr;
+    }
     return &connection;
 }
 
-void connection_table::arm(server_connection& connection, bool is_new)
+/// @returns whether the system reports the next event of the connection
+bool connection_table::arm(server_connection& connection, bool is_new)
 {
     const auto key = std::bit_cast<std::uint64_t>(
         slot_key{.index = connection.index, .generation = connection.generation});
     epoll_event event{.events = is_new ? EPOLLONESHOT : EPOLLIN | EPOLLRDHUP | EPOLLONESHOT,
                       .data = {.u64 = key}};
-    ::epoll_ctl(this->epoll.descriptor(), is_new ? EPOLL_CTL_ADD : EPOLL_CTL_MOD,
-                connection.socket.descriptor(), &event);
+    return ::epoll_ctl(this->epoll.descriptor(), is_new ? EPOLL_CTL_ADD : EPOLL_CTL_MOD,
+                       connection.socket.descriptor(), &event) == 0;
 }
 
 server_connection* connection_table::wait()
@@ -132,8 +137,11 @@
         }
     }
     connection.phase = phase;
-    this->arm(connection, false);
-    if (this->draining())
+    if (!this->arm(connection, false))
+    {
+        this->close_locked(connection);
+    }
+    else if (this->draining())
     {
         this->close_if_idle(connection);
     }
--- a/packages/http/src/connection_table.hpp
+++ b/packages/http/src/connection_table.hpp
@@ -71,7 +71,7 @@
         std::uint32_t generation;
     };
 
-    void arm(server_connection& connection, bool is_new);
+    bool arm(server_connection& connection, bool is_new);
     void close_locked(server_connection& connection);
     core::duration timeout_for(connection_phase phase) const;
     void close_if_idle(server_connection& connection);
--- a/packages/membership/src/gossip.cpp
+++ b/packages/membership/src/gossip.cpp
@@ -15,6 +15,8 @@
 /// Limit of records in one synchronization message; keeps it far below the transport's size limit.
 constexpr std::size_t max_sync_records = 256;
 constexpr core::duration dead_probe_period = std::chrono::seconds{1};
+/// Largest age of a contact that is considered, a year; a larger one from the wire could overflow the clock.
+constexpr std::uint64_t max_contact_age_ms = 365ULL * 86'400 * 1000;
 
 } // namespace
 
@@ -400,8 +402,11 @@
                             outbox& out)
 {
     this->last_peer_contact = now;
-    const core::time_point contact = now - std::chrono::milliseconds{message.platform_contact_age_ms};
-    this->last_platform_contact = std::max(this->last_platform_contact, contact);
+    if (message.platform_contact_age_ms <= max_contact_age_ms)
+    {
+        const core::time_point contact = now - std::chrono::milliseconds{message.platform_contact_age_ms};
+        this->last_platform_contact = std::max(this->last_platform_contact, contact);
+    }
     if (message.configuration_revision > this->revision &&
         (!this->newer_config || this->newer_config->revision < message.configuration_revision))
     {
--- a/packages/membership/tests/gossip_test.cpp
+++ b/packages/membership/tests/gossip_test.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(members_survive_message_loss);
     CPPUNIT_TEST(revision_spreads_and_never_decreases);
     CPPUNIT_TEST(messages_per_member_do_not_grow_with_the_fleet);
+    CPPUNIT_TEST(age_beyond_the_clock_is_no_recent_contact);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -194,6 +195,19 @@
             CPPUNIT_ASSERT(total <= size * 10 * 12 + size);
         }
     }
+
+    /// The age comes from the wire; a nanosecond clock holds 292 years.
+    void age_beyond_the_clock_is_no_recent_contact()
+    {
+        constexpr core::time_point start{1h};
+        for (const std::uint64_t age_ms :
+             {std::uint64_t{9'223'372'036'855}, std::uint64_t{1} << 63U, UINT64_MAX})
+        {
+            gossip member{gossip_options{}, {.id = "a", .version = 1}, core::random_source{1}, start};
+            member.receive(start + 1min, "b", "b", {.platform_contact_age_ms = age_ms});
+            CPPUNIT_ASSERT(member.platform_contact_age(start + 1min) == 1min);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gossip_test);
