Bound the messages that a process holds, with a setting

Cause: requests and responses were bounded one by one; a hundred slots with responses of 16 MiB exceed a VM of 160 MB. Change: body_memory_mb (48, 40 at least). Connections to the instance share an allowance; when it is used up large responses wait in the instance, except the one to the most urgent call. A large body that does not fit is refused at its head. Also: the calls that an exit gets are counted as first or retry (call_message::is_retry was read by nobody). Result: three responses of 8 MiB with 1 MiB allowed end in the order of their urgency, with less than 10 MiB held at once (new test; not run without the change).

--- a/packages/config/include/laburnumreach/config/sidecar_settings.hpp
+++ b/packages/config/include/laburnumreach/config/sidecar_settings.hpp
@@ -45,6 +45,9 @@
     double retry_slack = 0;
     /// Window over which the retry budget is counted.
     std::chrono::milliseconds retry_window{10000};
+    /// Bytes of requests and responses that the process may hold. Some are held twice while they are sent on,
+    /// so that the whole process may take about twice as much.
+    std::size_t body_memory = 48 * 1024 * 1024;
 };
 
 /// Parses and validates the settings of a sidecar.
--- a/packages/config/src/sidecar_settings.cpp
+++ b/packages/config/src/sidecar_settings.cpp
@@ -14,6 +14,11 @@
 constexpr std::int64_t max_port = 65'535;
 constexpr double max_seconds = 3600;
 constexpr double max_requests = 1e6;
+constexpr unsigned bits_per_mb = 20;
+constexpr std::int64_t default_body_memory_mb = 48;
+/// The largest response has 16 MiB, and as much is kept for callers' daemons that reconnect.
+constexpr std::int64_t min_body_memory_mb = 40;
+constexpr std::int64_t max_body_memory_mb = 65'536;
 
 endpoint read_endpoint(toml_reader& section, std::string_view name)
 {
@@ -92,6 +97,9 @@
     settings.retry_slack =
         limits.number("retry_slack", settings.retry_slack, {.min = 0, .max = max_requests});
     settings.retry_window = read_seconds(limits, "retry_window_s", settings.retry_window);
+    settings.body_memory = static_cast<std::size_t>(limits.integer("body_memory_mb", default_body_memory_mb,
+                                                                   min_body_memory_mb, max_body_memory_mb))
+                           << bits_per_mb;
 
     for (toml_reader* section : {&daemon, &upstream, &listen, &store, &limits, &root})
     {
--- a/packages/config/tests/sidecar_settings_test.cpp
+++ b/packages/config/tests/sidecar_settings_test.cpp
@@ -32,6 +32,7 @@
 retry_ratio = 0.2
 retry_slack = 47
 retry_window_s = 10
+body_memory_mb = 64
 )";
 
 } // namespace
@@ -56,6 +57,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"10.0.0.1"}, settings->announced_address);
         CPPUNIT_ASSERT(settings->drain_limit == 2s && settings->stop_grace == 6s);
         CPPUNIT_ASSERT_EQUAL(47.0, settings->retry_slack);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{64} * 1024 * 1024, settings->body_memory);
     }
 
     void announced_address_is_an_ip_address()
@@ -74,10 +76,12 @@
     void every_error_is_reported()
     {
         const auto settings =
-            parse_sidecar_settings("[daemon]\nid = 7\nzon = \"a\"\n[store]\naddress = \"x\"\n");
+            parse_sidecar_settings("[daemon]\nid = 7\nzon = \"a\"\n[store]\naddress = \"x\"\n"
+                                   "[limits]\nbody_memory_mb = 39\n");
         CPPUNIT_ASSERT(!settings);
         const std::string text = to_string(settings.error());
-        for (const char* expected_part : {"'id'", "'zon'", "'zone'", "'address'", "'outbound'", "'service'"})
+        for (const char* expected_part :
+             {"'id'", "'zon'", "'zone'", "'address'", "'outbound'", "'service'", "'body_memory_mb'"})
         {
             CPPUNIT_ASSERT_MESSAGE(expected_part, text.find(expected_part) != std::string::npos);
         }
--- a/packages/sidecar/include/laburnumreach/sidecar/frame_stream.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/frame_stream.hpp
@@ -69,6 +69,9 @@
 
     bool is_open() const { return this->socket.is_open(); }
 
+    /// Returns the size of all frames that are held.
+    std::size_t held_bytes() const noexcept { return this->received.size() + this->output.size(); }
+
 private:
     void send_frame(frame_type type, std::span<const std::uint8_t> body);
     void wait_readable();
--- a/packages/sidecar/include/laburnumreach/sidecar/http_listener.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/http_listener.hpp
@@ -51,6 +51,18 @@
         }
     }
 
+    /// Returns the size of all messages that the connections hold.
+    std::size_t held_bytes() const
+    {
+        std::size_t total = 0;
+        for (const auto& weak : this->connections)
+        {
+            const auto connection = weak.lock();
+            total += connection == nullptr ? 0 : connection->held_bytes();
+        }
+        return total;
+    }
+
     /// Returns the number of received requests without a response yet.
     std::size_t unanswered() const noexcept { return this->context->unanswered; }
 
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_connection.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_connection.hpp
@@ -5,6 +5,7 @@
 #include "laburnumreach/http/body_decoder.hpp"
 #include "laburnumreach/http/message_head.hpp"
 #include "laburnumreach/sidecar/asio.hpp"
+#include "laburnumreach/sidecar/read_allowance.hpp"
 #include "laburnumreach/sidecar/receive_buffer.hpp"
 #include "laburnumreach/sidecar/send_queue.hpp"
 
@@ -52,6 +53,8 @@
         /// Largest response body. A daemon holds the whole body until the caller has read it, and its VM may
         /// have as little as 160 MB.
         std::size_t max_body_bytes = 16 * 1024 * 1024;
+        /// Shared by all connections; null for none. When it is used up, large responses are not read on.
+        std::shared_ptr<read_allowance> allowance;
         /// Name of the header field in which the instance echoes the id of the attempt.
         std::string attempt_id_field;
     };
@@ -71,6 +74,13 @@
 
     bool is_open() const { return this->socket.is_open(); }
 
+    /// Continues to read a response if the allowance permits it.
+    /// @param is_preferred whether to read on even if the allowance is used up
+    void resume(bool is_preferred);
+
+    /// Returns the size of the request and of the response, as far as they are held.
+    std::size_t held_bytes() const;
+
     /// Returns whether the connection is open, idle and within its idle limit.
     bool reusable(core::time_point now) const;
 
@@ -89,6 +99,7 @@
     bool parse_body(bool closed);
     bool store_body(std::string_view bytes);
     bool count_skipped(std::size_t bytes);
+    bool must_wait() const;
     void finish(instance_outcome outcome, std::string detail);
     void update_idle_limit();
 
@@ -111,6 +122,7 @@
     std::size_t requests_sent = 0;
     bool connected = false;
     bool reading = false;
+    bool preferred = false; ///< Reads on even if the allowance is used up.
     bool keep_open = false;
     core::duration idle_limit{};
     core::time_point idle_since{};
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -53,6 +53,13 @@
     /// Expires calls and idle connections. Call it every few milliseconds.
     void tick(core::time_point now);
 
+    /// Sets how many bytes of responses may be read until the next call. When they are used up, all large
+    /// responses wait except the one to the most urgent call, so that it ends and frees its memory.
+    void allow_reading(std::size_t bytes);
+
+    /// Returns the size of all messages that are held.
+    std::size_t held_bytes() const;
+
     /// Reacts to a change of the instance's state.
     void on_instance_changed();
 
@@ -121,6 +128,7 @@
     instance_state& instance;
     event_log& events;
     sidecar_metrics& counters;
+    std::shared_ptr<read_allowance> allowance = std::make_shared<read_allowance>();
     std::unordered_map<ticket, open_call> calls;
     slot_queue queue;
     /// Ordered by last use, the most recent at the end.
--- a/packages/sidecar/include/laburnumreach/sidecar/receive_buffer.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/receive_buffer.hpp
@@ -64,6 +64,8 @@
         }
     }
 
+    std::size_t size() const noexcept { return this->bytes.size(); }
+
     bool empty() const noexcept { return this->begin == this->bytes.size(); }
 
 private:
--- a/packages/sidecar/include/laburnumreach/sidecar/send_queue.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/send_queue.hpp
@@ -60,6 +60,9 @@
     /// Returns the time at which the peer last accepted bytes.
     core::time_point last_progress() const noexcept { return this->progress_time; }
 
+    /// Returns the number of bytes that are not sent yet, and of those whose send is in progress.
+    std::size_t size() const noexcept { return this->waiting.size() + this->sending.size(); }
+
     bool idle() const noexcept { return !this->in_progress && this->waiting.empty(); }
 
 private:
--- a/packages/sidecar/include/laburnumreach/sidecar/server_connection.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/server_connection.hpp
@@ -23,6 +23,8 @@
     std::function<void(const std::shared_ptr<exchange>&)> handle;
     /// Returns the active limits.
     std::function<caller_limits()> limits;
+    /// Returns whether a request body of this size may be received now.
+    std::function<bool(std::size_t bytes)> has_memory_for = [](std::size_t) { return true; };
     /// Connections are closed after their pending responses.
     bool closing = false;
     /// Number of received requests without a response yet.
@@ -47,6 +49,9 @@
 
     bool is_open() const { return this->socket.is_open(); }
 
+    /// Returns the size of all messages that are held.
+    std::size_t held_bytes() const;
+
 private:
     void wait_readable();
     void on_readable(const error_code& error);
@@ -54,7 +59,7 @@
     bool parse_head();
     bool parse_body();
     void dispatch();
-    void refuse(int status);
+    void refuse(int status, std::string fields = {});
     void flush_responses();
     void write_response(exchange& answered);
     void flush();
--- a/packages/sidecar/src/instance_connection.cpp
+++ b/packages/sidecar/src/instance_connection.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t max_skipped_bytes = 256 * 1024;
 /// Idle time after which a connection is not reused, if the instance sends no keep-alive timeout.
 constexpr core::duration default_idle_limit = std::chrono::seconds{4};
+/// Size up to which a response is read without an allowance, so that small responses are never held up.
+constexpr std::size_t small_body_bytes = 64 * 1024;
 /// A connection is not reused this long before the instance's keep-alive timeout, so that no request is sent
 /// while the instance closes it.
 constexpr core::duration idle_margin = std::chrono::milliseconds{1500};
@@ -60,6 +62,7 @@
     this->decoder.reset();
     this->head_scanned = 0;
     this->keep_open = false;
+    this->preferred = false;
     this->skipped_bytes = 0;
     this->skipped_stale = false;
     ++this->requests_sent;
@@ -123,7 +126,7 @@
 
 void instance_connection::wait_readable()
 {
-    if (this->reading || !this->socket.is_open())
+    if (this->reading || !this->socket.is_open() || this->must_wait())
     {
         return;
     }
@@ -132,6 +135,29 @@
                             { self->on_readable(error); });
 }
 
+/// Returns whether a large response is not read on for now. The instance then waits, since the buffers of the
+/// system are full, and nothing of the response is lost.
+bool instance_connection::must_wait() const
+{
+    return this->on_result && !this->preferred && this->settings.allowance != nullptr &&
+           this->settings.allowance->used_up() && this->result.body.size() >= small_body_bytes;
+}
+
+void instance_connection::resume(bool is_preferred)
+{
+    this->preferred = is_preferred;
+    if (this->connected && this->on_result)
+    {
+        this->wait_readable();
+    }
+}
+
+std::size_t instance_connection::held_bytes() const
+{
+    return this->request_bytes.size() + this->output.size() + this->received.size() +
+           this->result.body.size();
+}
+
 void instance_connection::on_readable(const error_code& error)
 {
     this->reading = false;
@@ -241,6 +267,10 @@
         return false;
     }
     this->result.body.append(bytes);
+    if (this->settings.allowance != nullptr)
+    {
+        this->settings.allowance->use(bytes.size());
+    }
     return true;
 }
 
@@ -311,7 +341,7 @@
     this->result.detail = std::move(detail);
     if (handler)
     {
-        handler(std::move(this->result));
+        handler(std::exchange(this->result, {}));
     }
 }
 
--- a/packages/sidecar/src/instance_dispatcher.cpp
+++ b/packages/sidecar/src/instance_dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "laburnumreach/sidecar/wire_text.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace laburnumreach::sidecar
 {
@@ -62,6 +63,7 @@
     entry.handler = std::move(handler);
     entry.arrived = now;
     entry.deadline = now + std::chrono::milliseconds{entry.message.remaining_ms};
+    this->counters.count("exit_calls_total", entry.message.is_retry ? "retry" : "first");
 
     const std::optional<instance_heartbeat>& current = this->instance.instance();
     std::string_view refusal;
@@ -208,6 +210,40 @@
     this->start_queued();
 }
 
+void instance_dispatcher::allow_reading(std::size_t bytes)
+{
+    this->allowance->set(bytes);
+    const auto urgency_order = [](const open_call& call) {
+        return std::tuple{!call.message.nested, call.message.priority, call.arrived};
+    };
+    const open_call* most_urgent = nullptr;
+    for (const auto& [id, call] : this->calls)
+    {
+        if (call.connection != nullptr &&
+            (most_urgent == nullptr || urgency_order(call) < urgency_order(*most_urgent)))
+        {
+            most_urgent = &call;
+        }
+    }
+    for (const auto& [id, call] : this->calls)
+    {
+        if (call.connection != nullptr)
+        {
+            call.connection->resume(&call == most_urgent);
+        }
+    }
+}
+
+std::size_t instance_dispatcher::held_bytes() const
+{
+    std::size_t total = 0;
+    for (const auto& [id, call] : this->calls)
+    {
+        total += call.message.body.size() + (call.connection == nullptr ? 0 : call.connection->held_bytes());
+    }
+    return total;
+}
+
 void instance_dispatcher::on_instance_changed()
 {
     const core::time_point now = core::boot_clock::now();
@@ -267,6 +303,7 @@
     this->counters.count("instance_connections_total");
     return std::make_shared<instance_connection>(
         this->io, instance_connection::options{.address = this->settings.instance_address,
+                                               .allowance = this->allowance,
                                                .attempt_id_field = this->settings.names.attempt_id});
 }
 
--- a/packages/sidecar/src/server_connection.cpp
+++ b/packages/sidecar/src/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "laburnumreach/sidecar/http_status.hpp"
 #include "laburnumreach/sidecar/status_text.hpp"
+#include "laburnumreach/sidecar/wire_text.hpp"
 
 #include <array>
 
@@ -156,6 +157,15 @@
         this->refuse(http_status::payload_too_large);
         return false;
     }
+    // Small bodies are accepted here, and the request router decides by urgency.
+    constexpr std::size_t small_body_bytes = 64 * 1024;
+    constexpr core::duration memory_retry_delay = std::chrono::seconds{1};
+    if (head->framing.type == http::body_framing::kind::length && head->framing.length > small_body_bytes &&
+        !this->context->has_memory_for(head->framing.length))
+    {
+        this->refuse(http_status::unavailable, retry_after_field(memory_retry_delay));
+        return false;
+    }
     this->incoming = std::make_shared<exchange>();
     this->incoming->head = std::move(*head);
     this->decoder.emplace(this->incoming->head.framing);
@@ -223,14 +233,14 @@
     this->context->handle(request);
 }
 
-void server_connection::refuse(int status)
+void server_connection::refuse(int status, std::string fields)
 {
     this->stop_reading = true;
     const auto refused = std::make_shared<exchange>();
     refused->head.keep_alive = false;
     this->open_exchanges.push_back(refused);
     ++this->context->unanswered;
-    refused->respond({.status = status, .fields = {}, .body = {}, .close = true});
+    refused->respond({.status = status, .fields = std::move(fields), .body = {}, .close = true});
     this->flush_responses();
 }
 
@@ -308,6 +318,17 @@
     }
 }
 
+std::size_t server_connection::held_bytes() const
+{
+    std::size_t total = this->received.size() + this->output.size();
+    total += this->incoming == nullptr ? 0 : this->incoming->body.size();
+    for (const auto& request : this->open_exchanges)
+    {
+        total += request->body.size() + request->response().body.size();
+    }
+    return total;
+}
+
 void server_connection::linger()
 {
     if (this->lingering || !this->socket.is_open())
--- a/packages/sidecar/tests/instance_dispatcher_test.cpp
+++ b/packages/sidecar/tests/instance_dispatcher_test.cpp
@@ -2,6 +2,7 @@
 
 #include "laburnumreach/sidecar/call_reasons.hpp"
 #include "scripted_instance.hpp"
+#include "test_names.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -22,6 +23,7 @@
     CPPUNIT_TEST(earlier_refusal_that_arrives_between_two_calls_is_not_taken_for_the_second);
     CPPUNIT_TEST(bytes_without_end_give_the_slot_back_at_the_deadline);
     CPPUNIT_TEST(closed_connections_are_not_kept);
+    CPPUNIT_TEST(large_responses_wait_while_memory_is_short_the_least_urgent_longest);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -103,7 +105,58 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->dispatcher.idle_connection_count());
     }
 
+    void large_responses_wait_while_memory_is_short_the_least_urgent_longest()
+    {
+        constexpr std::size_t body_bytes = 8 * 1024 * 1024;
+        constexpr std::size_t memory_bytes = 1024 * 1024;
+        this->state.apply({.id = "i", .address = "a", .service = "s", .slots = 4, .sequence = 2});
+        this->server.on_request = [&](scripted_instance::connection& peer, std::size_t number)
+        {
+            const std::string& head = this->server.requests.at(number - 1);
+            const std::string id = head.substr(head.find("X-Attempt: ") + 11, 3);
+            peer.send("HTTP/1.1 200 OK\r\nX-Attempt: " + id + "\r\nX-Signature: s\r\nContent-Length: " +
+                      std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x'));
+        };
+        std::vector<std::int32_t> completed;
+        for (const std::int32_t priority : {2, 1, 3})
+        {
+            call_message call = make_call("a-" + std::to_string(priority), 60s);
+            call.priority = priority;
+            this->dispatcher.submit(std::move(call),
+                                    [&completed, priority, body_bytes](const reply_message& reply)
+                                    {
+                                        CPPUNIT_ASSERT_EQUAL(body_bytes, reply.body.size());
+                                        completed.push_back(priority);
+                                    });
+        }
+        std::size_t most_held = 0;
+        const core::time_point limit = core::boot_clock::now() + 30s;
+        while (completed.size() < 3 && core::boot_clock::now() < limit)
+        {
+            const std::size_t held = this->dispatcher.held_bytes();
+            most_held = std::max(most_held, held);
+            this->dispatcher.allow_reading(memory_bytes - std::min(held, memory_bytes));
+            this->io.run_one_for(10ms);
+            this->dispatcher.tick(core::boot_clock::now());
+        }
+        CPPUNIT_ASSERT((completed == std::vector<std::int32_t>{1, 2, 3}));
+        // The response that is read on, the limit, and the first blocks of the others.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most_held), most_held < body_bytes + 2 * memory_bytes);
+    }
+
 private:
+    static call_message make_call(const std::string& attempt_id, std::chrono::milliseconds timeout)
+    {
+        return {.id = 1,
+                .service = "s",
+                .route = "r",
+                .attempt_id = attempt_id,
+                .method = "GET",
+                .target = "/",
+                .fields = "Host: h\r\nX-Attempt: " + attempt_id + "\r\n",
+                .remaining_ms = static_cast<std::uint32_t>(timeout.count())};
+    }
+
     static std::string refusal(const std::string& fields)
     {
         return "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n" + fields + "Content-Length: 0\r\n\r\n";
@@ -118,14 +171,7 @@
     reply_kind outcome_of(const std::string& attempt_id, std::chrono::milliseconds timeout = 60s)
     {
         std::optional<reply_message> found;
-        this->dispatcher.submit({.id = 1,
-                                 .service = "s",
-                                 .route = "r",
-                                 .attempt_id = attempt_id,
-                                 .method = "GET",
-                                 .target = "/",
-                                 .fields = "Host: h\r\nX-Attempt: " + attempt_id + "\r\n",
-                                 .remaining_ms = static_cast<std::uint32_t>(timeout.count())},
+        this->dispatcher.submit(make_call(attempt_id, timeout),
                                 [&](reply_message reply) { found = std::move(reply); });
         const core::time_point limit = core::boot_clock::now() + 10s;
         while (!found && core::boot_clock::now() < limit)
@@ -143,12 +189,7 @@
     event_log log{"d"};
     sidecar_metrics metrics;
     instance_dispatcher dispatcher{this->io,
-                                   {.instance_address = this->server.address(),
-                                    .names = {.attempt_id = "X-Attempt",
-                                              .deadline_ms = "X-Deadline",
-                                              .expected_instance = "X-Expected",
-                                              .not_executed = "X-Not-Executed",
-                                              .signature = "X-Signature"}},
+                                   {.instance_address = this->server.address(), .names = test_names()},
                                    this->state,
                                    this->log,
                                    this->metrics};
--- a/packages/sidecar/tests/server_connection_test.cpp
+++ b/packages/sidecar/tests/server_connection_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(requests_pipelined_after_connection_close_are_not_handled);
     CPPUNIT_TEST(request_with_two_body_framings_is_refused);
     CPPUNIT_TEST(too_long_body_is_refused);
+    CPPUNIT_TEST(large_body_without_memory_for_it_is_refused_before_it_is_read);
     CPPUNIT_TEST(chunked_body_is_read_in_parts);
     CPPUNIT_TEST(idle_connection_closes_after_its_limit);
     CPPUNIT_TEST(incomplete_head_closes_after_its_limit);
@@ -131,6 +132,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 413"}, this->received().substr(0, 12));
     }
 
+    void large_body_without_memory_for_it_is_refused_before_it_is_read()
+    {
+        this->context->limits = [] { return caller_limits{}; };
+        this->context->has_memory_for = [](std::size_t bytes) { return bytes < 100'000; };
+        this->connection->start();
+        this->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n");
+        this->run();
+        CPPUNIT_ASSERT(this->requests.empty());
+        const std::string response = this->received();
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 503"}, response.substr(0, 12));
+        CPPUNIT_ASSERT(response.find("Retry-After: ") != std::string::npos);
+    }
+
     void chunked_body_is_read_in_parts()
     {
         this->connection->start();
