Exchange fewer messages between daemons that need each other little, in fleets of more than 32

Cause: every daemon probes every other one twice a second, and a loaded instance tells all of them its load ten times a second. Change: with 32 other daemons or more, one of another zone that gets no calls and no reports is probed once a second; a call on a link that was not probed for half a second is followed by a probe, so a silent link is found as fast as before. Load goes twice a second to daemons that sent no call within 2 s; a change of state goes to all at once, and a status is encoded once. Held bytes are added up ten times a second while less than a quarter of the limit is held. Smaller fleets exchange what they did. Result: the new test fails without the change (a daemon without calls gets 4 statuses, not 1).

--- a/packages/sidecar/include/laburnumreach/sidecar/fleet_retry_settings.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/fleet_retry_settings.hpp
@@ -48,12 +48,6 @@
             .window = retries.window};
 }
 
-/// Returns the time after its deregistration in which an instance still gets calls.
-inline core::duration work_drain_limit(const config::sidecar_settings& settings)
-{
-    return settings.drain_limit / 2;
-}
-
 } // namespace laburnumreach::sidecar
 
 #endif
--- a/packages/sidecar/include/laburnumreach/sidecar/frame_stream.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/frame_stream.hpp
@@ -53,10 +53,12 @@
     template <typename Message>
     void send(frame_type type, const Message& message)
     {
-        const std::vector<std::uint8_t> body = protocol::encode_message(message);
-        this->send_frame(type, body);
+        this->send_encoded(type, protocol::encode_message(message));
     }
 
+    /// Queues a message that is encoded already.
+    void send_encoded(frame_type type, std::span<const std::uint8_t> body);
+
     /// Sets the maximum time between received bytes. Bytes that arrive later are not read and the connection
     /// is closed, since they were delayed and the sender may have abandoned the calls in them.
     void set_silence_timeout(core::duration limit) { this->silence_timeout = limit; }
@@ -73,7 +75,6 @@
     std::size_t held_bytes() const noexcept { return this->received.size() + this->output.size(); }
 
 private:
-    void send_frame(frame_type type, std::span<const std::uint8_t> body);
     void wait_readable();
     void on_readable(const error_code& error);
     bool parse();
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
@@ -5,6 +5,8 @@
 #include "laburnumreach/protocol/message_codec.hpp"
 
 #include <cstdint>
+#include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -213,6 +215,15 @@
     return true;
 }
 
+/// Decodes the body of a frame from another daemon.
+/// @returns no value if it is no such message, or states amounts outside their range
+template <typename Message>
+std::optional<Message> decode_frame(std::span<const std::uint8_t> body)
+{
+    std::optional<Message> message = protocol::decode_message<Message>(body);
+    return message && is_valid(*message) ? std::move(message) : std::nullopt;
+}
+
 } // namespace laburnumreach::sidecar
 
 namespace laburnumreach::protocol
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
@@ -42,8 +42,11 @@
     /// Returns the size of all frames and kept replies.
     std::size_t held_bytes() const;
 
-    /// Sends the state of the instance to all connected daemons.
-    void broadcast_status(const instance_status& status);
+    /// Sends the state of the instance to the connected daemons.
+    /// @param is_change whether all of them must know it at once; else, in a large fleet, those that sent no
+    /// call
+    ///        lately get it less often
+    void broadcast_status(const instance_status& status, bool is_change);
 
 private:
     /// Smallest change of a call ratio that is reported, in calls per run.
@@ -63,6 +66,8 @@
         std::shared_ptr<frame_stream> stream;
         std::unordered_map<std::uint64_t, open_call> open_calls;
         core::time_point disconnected_since{};
+        core::time_point last_call{};   ///< Time of the last call from this daemon.
+        core::time_point status_sent{}; ///< Time of the last status that was broadcast to it.
         change_tracker<call_ratio> ratio_tracker{min_ratio_change};
         status_change_tracker status_tracker;
         peer_sync_state sync_state;
@@ -94,10 +99,14 @@
     /// and reconnects after about this time.
     static constexpr core::duration silence_timeout = std::chrono::milliseconds{1200};
 
+    /// Time between two checks for daemons that do not reconnect.
+    static constexpr core::duration check_interval = std::chrono::milliseconds{100};
+
     instance_dispatcher& dispatcher;
     fleet_state& fleet;
     event_log& events;
     callbacks handlers;
+    core::time_point last_check{};
     std::map<std::string, session> sessions;
     retained_replies recent_replies{max_retained_bytes};
 };
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -94,6 +94,7 @@
     void begin_stop();
     void continue_stop(core::time_point now);
     std::shared_ptr<peer_link_callbacks> make_link_callbacks();
+    core::duration work_drain_limit() const;
 
     config::sidecar_settings settings;
     platform_bindings platform;
--- a/packages/sidecar/include/laburnumreach/sidecar/status_change_tracker.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/status_change_tracker.hpp
@@ -23,6 +23,13 @@
     /// @returns whether to send the status now; it is then recorded as sent
     bool should_send(const instance_status& status, core::time_point now);
 
+    /// Records a status that was sent otherwise.
+    void record_sent(const instance_status& status, core::time_point now)
+    {
+        this->last_sent = status;
+        this->sent_at = now;
+    }
+
 private:
     /// Time after which an unchanged status is sent again.
     static constexpr core::duration refresh_interval = std::chrono::seconds{2};
--- a/packages/sidecar/src/frame_stream.cpp
+++ b/packages/sidecar/src/frame_stream.cpp
@@ -39,7 +39,7 @@
     this->wait_readable();
 }
 
-void frame_stream::send_frame(frame_type type, std::span<const std::uint8_t> body)
+void frame_stream::send_encoded(frame_type type, std::span<const std::uint8_t> body)
 {
     std::array<char, header_bytes> header{};
     for (std::size_t index = 0; index < length_bytes; ++index)
--- a/packages/sidecar/src/peer_link.cpp
+++ b/packages/sidecar/src/peer_link.cpp
@@ -114,6 +114,18 @@
     this->stream->send(frame_type::hello, hello);
 }
 
+/// @returns no value if the message is malformed, which is logged
+template <typename Message>
+std::optional<Message> peer_link::read_frame(std::span<const std::uint8_t> body)
+{
+    std::optional<Message> message = decode_frame<Message>(body);
+    if (!message)
+    {
+        this->events.request_event("peer_malformed_frame", {{"peer", this->peer.daemon_id}});
+    }
+    return message;
+}
+
 void peer_link::on_frame(frame_type type, std::span<const std::uint8_t> body)
 {
     if (this->fleet.handle(*this->stream, type, body))
@@ -123,13 +135,13 @@
     switch (type)
     {
     case frame_type::welcome:
-        if (const auto message = protocol::decode_message<welcome_message>(body))
+        if (const auto message = this->read_frame<welcome_message>(body))
         {
             this->on_welcome(*message);
         }
         break;
     case frame_type::reply:
-        if (auto message = protocol::decode_message<reply_message>(body))
+        if (auto message = this->read_frame<reply_message>(body))
         {
             this->callbacks->on_status(this->peer.daemon_id, message->load);
             if (this->open_calls.erase(message->id) > 0)
@@ -139,27 +151,19 @@
         }
         break;
     case frame_type::probe_reply:
-        if (const auto message = protocol::decode_message<probe_reply_message>(body);
-            message && is_valid(*message))
+        if (const auto message = this->read_frame<probe_reply_message>(body))
         {
-            this->probe_outstanding = this->probe_outstanding && message->sequence != this->probe_sequence;
-            if (!message->status.empty())
-            {
-                this->callbacks->on_status(this->peer.daemon_id, message->status.front());
-            }
-            this->callbacks->on_ratios(this->peer.daemon_id, message->ratios);
-            this->fleet.reconcile(*this->stream, this->sync_state, this->peer.zone, message->config_version,
-                                  message->member_digest, core::boot_clock::now());
+            this->on_probe_reply(*message);
         }
         break;
     case frame_type::token_grant:
-        if (const auto message = protocol::decode_message<token_grant_message>(body))
+        if (const auto message = this->read_frame<token_grant_message>(body))
         {
             this->callbacks->on_token_grant(*message);
         }
         break;
     case frame_type::status:
-        if (const auto message = protocol::decode_message<instance_status>(body))
+        if (const auto message = this->read_frame<instance_status>(body))
         {
             this->callbacks->on_status(this->peer.daemon_id, *message);
         }
@@ -171,6 +175,18 @@
     }
 }
 
+void peer_link::on_probe_reply(const probe_reply_message& reply)
+{
+    this->probe_outstanding = this->probe_outstanding && reply.sequence != this->probe_sequence;
+    if (!reply.status.empty())
+    {
+        this->callbacks->on_status(this->peer.daemon_id, reply.status.front());
+    }
+    this->callbacks->on_ratios(this->peer.daemon_id, reply.ratios);
+    this->fleet.reconcile(*this->stream, this->sync_state, this->peer.zone, reply.config_version,
+                          reply.member_digest, core::boot_clock::now());
+}
+
 void peer_link::on_welcome(const welcome_message& welcome)
 {
     if (welcome.sender.daemon_id != this->peer.daemon_id)
@@ -206,6 +222,10 @@
 {
     this->open_calls.emplace(call.id, false);
     this->stream->send(frame_type::call, call);
+    this->last_call_sent = core::boot_clock::now();
+    // A link that was idle may be silent without being known to be.
+    this->probe_requested =
+        this->probe_requested || this->last_call_sent - this->last_probe_sent > probe_interval;
 }
 
 void peer_link::send_cancel(std::uint64_t call_id)
@@ -251,7 +271,7 @@
             this->connect();
         }
         else if (!this->probe_outstanding &&
-                 (this->probe_requested || now - this->last_probe_sent > probe_interval))
+                 (this->probe_requested || now - this->last_probe_sent > this->current_probe_interval(now)))
         {
             this->send_probe(now);
         }
@@ -274,6 +294,16 @@
     }
 }
 
+core::duration peer_link::current_probe_interval(core::time_point now) const
+{
+    constexpr core::duration recent_call = std::chrono::seconds{2};
+    const bool may_be_idle = this->fleet.members().members().size() >= large_fleet_size &&
+                             this->peer.zone != this->fleet.own().zone && this->open_calls.empty() &&
+                             now - this->last_call_sent > recent_call &&
+                             !this->callbacks->reports_demand_to(this->peer.zone);
+    return may_be_idle ? idle_probe_interval : probe_interval;
+}
+
 void peer_link::send_probe(core::time_point now)
 {
     this->last_probe_sent = now;
--- a/packages/sidecar/src/peer_server.cpp
+++ b/packages/sidecar/src/peer_server.cpp
@@ -44,11 +44,10 @@
 std::optional<Message> peer_server::read_frame(const std::string& daemon_id,
                                                std::span<const std::uint8_t> body)
 {
-    std::optional<Message> message = protocol::decode_message<Message>(body);
-    if (!message || !is_valid(*message))
+    std::optional<Message> message = decode_frame<Message>(body);
+    if (!message)
     {
         this->events.request_event("peer_malformed_frame", {{"peer", daemon_id}});
-        return std::nullopt;
     }
     return message;
 }
@@ -197,7 +196,8 @@
     session& peer = this->sessions.at(daemon_id);
     const std::uint64_t id = call.id;
     const std::uint64_t started_ms = peer.sender.started_ms;
-    const core::time_point deadline = core::boot_clock::now() + std::chrono::milliseconds{call.remaining_ms};
+    peer.last_call = core::boot_clock::now();
+    const core::time_point deadline = peer.last_call + std::chrono::milliseconds{call.remaining_ms};
     peer.open_calls[id] = {
         .ticket = this->dispatcher.submit(std::move(call), [this, daemon_id, started_ms](reply_message reply)
                                           { this->on_reply(daemon_id, started_ms, std::move(reply)); }),
@@ -253,6 +253,11 @@
 void peer_server::tick(core::time_point now)
 {
     this->recent_replies.expire(now);
+    if (now - this->last_check < check_interval)
+    {
+        return;
+    }
+    this->last_check = now;
     for (auto& [daemon_id, peer] : this->sessions)
     {
         if (peer.stream == nullptr && !peer.open_calls.empty() &&
@@ -273,13 +278,22 @@
     return total;
 }
 
-void peer_server::broadcast_status(const instance_status& status)
+void peer_server::broadcast_status(const instance_status& status, bool is_change)
 {
+    constexpr core::duration recent_call = std::chrono::seconds{2};
+    constexpr core::duration idle_interval = std::chrono::milliseconds{500};
+    const core::time_point now = core::boot_clock::now();
+    const bool to_all = is_change || this->sessions.size() < large_fleet_size;
+    const std::vector<std::uint8_t> body = protocol::encode_message(status);
     for (auto& [daemon_id, peer] : this->sessions)
     {
-        if (peer.stream != nullptr)
+        if (peer.stream != nullptr &&
+            (to_all || now - peer.last_call < recent_call || now - peer.status_sent >= idle_interval))
         {
-            peer.stream->send(frame_type::status, status);
+            peer.status_sent = now;
+            // A peer that gets no broadcast gets the status with the reply to its next probe.
+            peer.status_tracker.record_sent(status, now);
+            peer.stream->send_encoded(frame_type::status, body);
         }
     }
 }
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -15,8 +15,11 @@
 /// Resolution of deadlines, queue expiry and probe times.
 constexpr auto tick_interval = std::chrono::milliseconds{10};
 constexpr core::duration connection_check_interval = std::chrono::milliseconds{500};
-/// Short enough that little is read from an instance on the same VM meanwhile.
-constexpr core::duration memory_check_interval = std::chrono::milliseconds{20};
+/// Time between two checks of the memory that messages take. In between, the allowance bounds what is read
+/// from the instance.
+constexpr core::duration memory_check_interval = std::chrono::milliseconds{100};
+/// The same while more than a quarter of the memory is taken.
+constexpr core::duration close_memory_check_interval = std::chrono::milliseconds{20};
 constexpr core::duration measurement_interval = std::chrono::milliseconds{250};
 /// Minimum time between two broadcasts of the instance's status under high load.
 constexpr core::duration broadcast_interval = std::chrono::milliseconds{100};
@@ -55,7 +58,7 @@
           this->io,
           {.instance_address = make_endpoint(this->settings.upstream.address, this->settings.upstream.port),
            .names = this->platform.headers,
-           .drain_limit = work_drain_limit(this->settings)},
+           .drain_limit = this->work_drain_limit()},
           this->instance, log, this->counters),
       peers(this->dispatcher, this->fleet, log,
             {.ratios = [this] { return this->ratio_estimator.ratios(); },
@@ -94,6 +97,8 @@
     { this->router.shedder().record_call_ratios(daemon_id, ratios); };
     callbacks->demand_report_for = [this](const std::string& zone)
     { return this->router.demand_report_for(zone); };
+    callbacks->reports_demand_to = [this](const std::string& zone)
+    { return this->router.reports_demand_to(zone); };
     callbacks->store_works = [this] { return this->store_works; };
     callbacks->take_tokens_for = [this](const std::string& daemon_id)
     { return this->router.admission().take_surplus(daemon_id, core::boot_clock::now()); };
@@ -230,7 +235,7 @@
     {
         this->last_broadcast = now;
         this->last_broadcast_status = status;
-        this->peers.broadcast_status(status);
+        this->peers.broadcast_status(status, changed);
     }
 }
 
@@ -262,7 +267,8 @@
 /// Measures the memory that messages take, and limits what is accepted while it is short.
 void sidecar_daemon::limit_memory(core::time_point now)
 {
-    if (now - this->last_memory_check < memory_check_interval)
+    const bool is_close = this->memory.held_bytes() > this->settings.body_memory / 4;
+    if (now - this->last_memory_check < (is_close ? close_memory_check_interval : memory_check_interval))
     {
         return;
     }
--- a/packages/sidecar/src/sidecar_daemon_lifecycle.cpp
+++ b/packages/sidecar/src/sidecar_daemon_lifecycle.cpp
@@ -40,7 +40,7 @@
     this->settings.retry_window = loaded->retry_window;
     this->settings.body_memory = loaded->body_memory;
     this->memory.set_limit(this->settings.body_memory);
-    this->dispatcher.set_drain_limit(work_drain_limit(this->settings));
+    this->dispatcher.set_drain_limit(this->work_drain_limit());
     this->router.set_retry_settings(make_retry_settings(this->settings));
     this->events.state_event("reloaded",
                              {{"stop_grace_ms", std::to_string(this->settings.stop_grace.count())},
@@ -51,6 +51,12 @@
                               {"body_memory_bytes", std::to_string(this->settings.body_memory)}});
 }
 
+/// Returns the time after its deregistration in which an instance still gets calls.
+core::duration sidecar_daemon::work_drain_limit() const
+{
+    return this->settings.drain_limit / 2;
+}
+
 void sidecar_daemon::post_stop()
 {
     asio::post(this->io, [this] { this->begin_stop(); });
--- a/packages/sidecar/src/status_change_tracker.cpp
+++ b/packages/sidecar/src/status_change_tracker.cpp
@@ -11,8 +11,7 @@
     {
         return false;
     }
-    this->last_sent = status;
-    this->sent_at = now;
+    this->record_sent(status, now);
     return true;
 }
 
--- a/packages/sidecar/tests/peer_server_test.cpp
+++ b/packages/sidecar/tests/peer_server_test.cpp
@@ -80,10 +80,11 @@
             [this] { this->closed = true; });
     }
 
-    void send_hello(std::vector<std::uint64_t> pending = {}, std::uint64_t sender_ms = sender_started_ms)
+    void send_hello(std::vector<std::uint64_t> pending = {}, std::uint64_t sender_ms = sender_started_ms,
+                    const std::string& daemon_id = "peer")
     {
         this->stream->send(frame_type::hello,
-                           hello_message{.sender = {.daemon_id = "peer", .started_ms = sender_ms},
+                           hello_message{.sender = {.daemon_id = daemon_id, .started_ms = sender_ms},
                                          .pending_calls = std::move(pending),
                                          .receiver_started_ms = own_started_ms});
     }
@@ -140,6 +141,7 @@
     CPPUNIT_TEST(configuration_is_sent_on_request);
     CPPUNIT_TEST(newer_configuration_is_requested);
     CPPUNIT_TEST(members_are_sent_when_they_differ_beyond_the_delay);
+    CPPUNIT_TEST(load_is_sent_less_often_to_daemons_of_a_large_fleet_that_send_no_call);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -300,6 +302,33 @@
         CPPUNIT_ASSERT_EQUAL(1, peer.frames[frame_type::members]);
     }
 
+    /// Otherwise the messages of a loaded instance grow with the fleet: ten a second to each other daemon.
+    void load_is_sent_less_often_to_daemons_of_a_large_fleet_that_send_no_call()
+    {
+        std::vector<std::unique_ptr<fake_peer>> peers;
+        for (std::size_t index = 0; index < large_fleet_size; ++index)
+        {
+            peers.push_back(std::make_unique<fake_peer>(this->io, this->address()));
+            peers.back()->send_hello({}, sender_started_ms, "peer-" + std::to_string(index));
+        }
+        this->run_until([&] { return peers.back()->frames.contains(frame_type::welcome); });
+        fake_peer& caller = *peers.front();
+        caller.send_call(1, true);
+        this->run_until([&] { return this->instance.requests.size() == 1; });
+        constexpr int broadcasts = 4;
+        for (int count = 0; count < broadcasts; ++count)
+        {
+            this->server.broadcast_status(this->dispatcher.status(), false);
+        }
+        this->run_until([&] { return caller.frames[frame_type::status] == broadcasts; });
+        this->run_for(50ms);
+        CPPUNIT_ASSERT_EQUAL(broadcasts, caller.frames[frame_type::status]);
+        CPPUNIT_ASSERT_EQUAL(1, peers.back()->frames[frame_type::status]);
+        this->server.broadcast_status(this->dispatcher.status(), true);
+        this->run_until([&] { return peers.back()->frames[frame_type::status] == 2; });
+        CPPUNIT_ASSERT_EQUAL(2, peers.back()->frames[frame_type::status]);
+    }
+
 private:
     tcp::endpoint address() const { return this->acceptor.local_endpoint(); }
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,6 +6,7 @@
 scripts/build.sh
 scripts/lint.sh
 ctest --test-dir "$build_dir" --output-on-failure --parallel "${TEST_JOBS:-4}"
+scripts/sanitize.sh address
 
 # The example embeds the installed library in a program of its own.
 build_dir=$(realpath "$build_dir")
