Spend less processor time on what seldom changes

Change: own call ratios are computed four times a second, the mean when a ratio changed, at most ten times a second; running calls and idle connections are looked through 20 times a second.

--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -107,7 +107,12 @@
     static constexpr core::duration connect_retry_delay = std::chrono::milliseconds{250};
     static constexpr std::size_t max_idle_connections = 64;
 
+    /// Time between two checks of the running calls and of the idle connections.
+    static constexpr core::duration check_interval = std::chrono::milliseconds{50};
+
     std::uint32_t usable_slots() const;
+    void end_overdue_calls(core::time_point now);
+    void close_unusable_connections(core::time_point now);
     void start(ticket id);
     void start_queued();
     bool can_start_in_time(const waiting_call& call, core::time_point now) const;
@@ -139,6 +144,7 @@
     double mean_run_ms = 0;
     core::time_point run_time_updated{}; ///< Time of the last change of mean_run_ms.
     core::time_point leaving_since{};
+    core::time_point last_check{};
     core::time_point connect_blocked_until{};
     core::duration last_queue_wait{};
     bool draining = false;
--- a/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/load_shedder.hpp
@@ -78,7 +78,7 @@
     void record_call_ratios(const std::string& daemon_id, std::span<const call_ratio> observed);
 
     /// Returns the call ratios averaged over all daemons.
-    std::vector<call_ratio> mean_call_ratios() const;
+    std::vector<call_ratio> mean_call_ratios();
 
     /// Records the demand at this or another daemon; replaces that daemon's previous report.
     void record_demand(const std::string& daemon_id, std::span<const route_demand> demand,
@@ -157,6 +157,7 @@
     std::map<std::string, instance_status> instances;       ///< By daemon.
     using route_pair = std::pair<std::string, std::string>; ///< Parent and child.
     std::unordered_map<std::string, std::map<route_pair, double>> observed_ratios; ///< By daemon.
+    bool ratios_changed = false; ///< The means are not updated yet.
     /// Means over the daemons, by parent and child route.
     std::unordered_map<std::string, std::unordered_map<std::string, double>> ratios;
     std::unordered_map<std::string, calls_by_service> nested_calls; ///< Calls per request, by route name.
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
@@ -23,7 +23,7 @@
     /// Callbacks of the server to its owner.
     struct callbacks
     {
-        std::function<std::vector<call_ratio>()> ratios;
+        std::function<std::span<const call_ratio>()> ratios;
         /// Called with each received probe.
         std::function<void(const member_record& sender, const probe_message&)> on_probe;
         std::function<token_grant_message(const token_request_message&)> on_token_request;
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -111,6 +111,7 @@
     peer_server peers;
     request_router router;
     call_ratio_estimator ratio_estimator;
+    std::vector<call_ratio> own_ratios; ///< As of the last measurement; each probe is answered with them.
     std::unordered_map<std::string, std::shared_ptr<peer_link>> links;
     std::shared_ptr<const peer_link_callbacks> link_callbacks;
     std::optional<http_listener> outbound;
--- a/packages/sidecar/src/instance_dispatcher.cpp
+++ b/packages/sidecar/src/instance_dispatcher.cpp
@@ -177,7 +177,19 @@
     {
         this->refuse_all_queued(call_reason::instance_leaving);
     }
-    // The instance enforces the deadline itself; this ends calls that it did not answer.
+    if (now - this->last_check >= check_interval)
+    {
+        this->last_check = now;
+        this->end_overdue_calls(now);
+        this->close_unusable_connections(now);
+    }
+    this->decay_mean_run_time(now);
+    this->start_queued();
+}
+
+/// The instance enforces the deadline itself; this ends calls that it did not answer.
+void instance_dispatcher::end_overdue_calls(core::time_point now)
+{
     constexpr core::duration deadline_margin = std::chrono::milliseconds{150};
     std::vector<ticket> overdue;
     for (const auto& [id, call] : this->calls)
@@ -196,7 +208,10 @@
         this->finish(id, {.kind = static_cast<std::uint8_t>(reply_kind::failed),
                           .reason = std::string{call_reason::deadline}});
     }
-    this->decay_mean_run_time(now);
+}
+
+void instance_dispatcher::close_unusable_connections(core::time_point now)
+{
     std::erase_if(this->idle_connections,
                   [now](const std::shared_ptr<instance_connection>& connection)
                   {
@@ -207,7 +222,6 @@
                       }
                       return expired;
                   });
-    this->start_queued();
 }
 
 void instance_dispatcher::allow_reading(std::size_t bytes)
--- a/packages/sidecar/src/load_shedder.cpp
+++ b/packages/sidecar/src/load_shedder.cpp
@@ -1,6 +1,7 @@
 #include "laburnumreach/sidecar/load_shedder.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace laburnumreach::sidecar
 {
@@ -56,23 +57,26 @@
     std::map<route_pair, double>& own = this->observed_ratios[daemon_id];
     for (const call_ratio& entry : observed)
     {
-        own.insert_or_assign({entry.parent_route, entry.child_route}, entry.calls_per_run);
+        const auto [known, inserted] =
+            own.try_emplace({entry.parent_route, entry.child_route}, entry.calls_per_run);
+        this->ratios_changed = this->ratios_changed || inserted || known->second != entry.calls_per_run;
+        known->second = entry.calls_per_run;
     }
-    this->update_mean_ratios();
 }
 
 void load_shedder::remove_daemon(const std::string& daemon_id)
 {
     this->instances.erase(daemon_id);
     this->demands.erase(daemon_id);
-    if (this->observed_ratios.erase(daemon_id) > 0)
-    {
-        this->update_mean_ratios();
-    }
+    this->ratios_changed = this->observed_ratios.erase(daemon_id) > 0 || this->ratios_changed;
 }
 
 void load_shedder::update_mean_ratios()
 {
+    if (!std::exchange(this->ratios_changed, false))
+    {
+        return;
+    }
     std::map<route_pair, std::pair<double, double>> sums; // Sum and number of the values.
     for (const auto& [daemon, known] : this->observed_ratios)
     {
@@ -100,8 +104,9 @@
     }
 }
 
-std::vector<call_ratio> load_shedder::mean_call_ratios() const
+std::vector<call_ratio> load_shedder::mean_call_ratios()
 {
+    this->update_mean_ratios();
     std::vector<call_ratio> found;
     for (const auto& [parent, children] : this->ratios)
     {
@@ -194,6 +199,7 @@
     }
     const double elapsed = std::min(core::to_seconds(now - this->last_update), 1.0);
     this->last_update = now;
+    this->update_mean_ratios();
     this->sum_instances();
     const auto demand_by_service = this->sum_demand(now);
     for (auto& [service, state] : this->services)
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -61,7 +61,7 @@
            .drain_limit = this->work_drain_limit()},
           this->instance, log, this->counters),
       peers(this->dispatcher, this->fleet, log,
-            {.ratios = [this] { return this->ratio_estimator.ratios(); },
+            {.ratios = [this] { return std::span<const call_ratio>{this->own_ratios}; },
              .on_probe =
                  [this](const member_record& sender, const probe_message& probe)
              {
@@ -210,7 +210,8 @@
         this->last_measurement = now;
         this->log_shedding();
         this->ratio_estimator.add(this->dispatcher.take_run_starts(), this->router.take_nested_calls());
-        this->router.shedder().record_call_ratios(this->settings.daemon_id, this->ratio_estimator.ratios());
+        this->own_ratios = this->ratio_estimator.ratios();
+        this->router.shedder().record_call_ratios(this->settings.daemon_id, this->own_ratios);
     }
     this->check_connections(now);
     this->events.flush();
--- a/packages/sidecar/tests/peer_server_test.cpp
+++ b/packages/sidecar/tests/peer_server_test.cpp
@@ -376,7 +376,7 @@
     peer_server server{this->dispatcher,
                        this->fleet,
                        this->log,
-                       {.ratios = [] { return std::vector<call_ratio>{}; },
+                       {.ratios = [] { return std::span<const call_ratio>{}; },
                         .on_probe = [](const member_record&, const probe_message&) {},
                         .on_token_request = [](const token_request_message& request)
                         { return token_grant_message{.id = request.id}; }}};
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -10,9 +10,9 @@
 # Paths relative to the build directory.
 tests=(packages/http/http_tests packages/sidecar/sidecar_tests platform/adapter_tests)
 case $variant in
-  address) flags=(-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer -O1) ;;
+  address) flags=("-fsanitize=address,undefined" -fno-sanitize-recover=all -fno-omit-frame-pointer -O0 -g1) ;;
   thread)
-    flags=(-fsanitize=thread -O1)
+    flags=(-fsanitize=thread -O1 -g1)
     tests+=(packages/quota/quota_tests packages/platform/platform_tests)
     ;;
   signed-char) flags=(-fsigned-char -O1) ;;
@@ -23,7 +23,7 @@
     ;;
 esac
 build_dir=${BUILD_DIR:-build}/$variant
-cmake -S . -B "$build_dir" -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS="${flags[*]}" >/dev/null
+cmake -S . -B "$build_dir" -DCMAKE_BUILD_TYPE= -DCMAKE_CXX_FLAGS="${flags[*]}" >/dev/null
 cmake --build "$build_dir" --parallel "${BUILD_JOBS:-$(nproc)}" --target "${tests[@]##*/}" >/dev/null
 for test in "${tests[@]}"; do
   output=$build_dir/${test##*/}.log
