--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -117,7 +117,7 @@
     void start_queued();
     bool can_start_in_time(const waiting_call& call, core::time_point now) const;
     void post_start_queued();
-    void on_result(ticket id, const std::shared_ptr<instance_connection>& connection, instance_result result);
+    void on_result(ticket id, instance_result result);
     void finish(ticket id, reply_message reply);
     void refuse(ticket id, std::string_view reason);
     void refuse_all_queued(std::string_view reason);
--- a/packages/sidecar/src/instance_dispatcher.cpp
+++ b/packages/sidecar/src/instance_dispatcher.cpp
@@ -349,14 +349,12 @@
     std::string request = this->format_request(call, now);
     call.message.body.clear();
     call.message.body.shrink_to_fit();
-    const std::shared_ptr<instance_connection> connection = call.connection;
-    connection->run(std::move(request), call.message.attempt_id, call.message.method == "HEAD",
-                    [this, id, connection](instance_result result)
-                    { this->on_result(id, connection, std::move(result)); });
+    // The connection owns the handler, so the handler must not own the connection.
+    call.connection->run(std::move(request), call.message.attempt_id, call.message.method == "HEAD",
+                         [this, id](instance_result result) { this->on_result(id, std::move(result)); });
 }
 
-void instance_dispatcher::on_result(ticket id, const std::shared_ptr<instance_connection>& connection,
-                                    instance_result result)
+void instance_dispatcher::on_result(ticket id, instance_result result)
 {
     const auto found = this->calls.find(id);
     if (found == this->calls.end())
@@ -364,6 +362,7 @@
         return;
     }
     const core::time_point now = core::boot_clock::now();
+    const std::shared_ptr<instance_connection> connection = found->second.connection;
     --this->running;
     const core::duration run_time = now - found->second.started;
     if (result.outcome == instance_outcome::complete)
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -23,7 +23,7 @@
     ;;
 esac
 build_dir=${BUILD_DIR:-build}/$variant
-cmake -S . -B "$build_dir" -DCMAKE_BUILD_TYPE= -DCMAKE_CXX_FLAGS="${flags[*]}" >/dev/null
+cmake -S . -B "$build_dir" -DCMAKE_BUILD_TYPE=Sanitize -DCMAKE_CXX_FLAGS="${flags[*]}" >/dev/null
 cmake --build "$build_dir" --parallel "${BUILD_JOBS:-$(nproc)}" --target "${tests[@]##*/}" >/dev/null
 for test in "${tests[@]}"; do
   output=$build_dir/${test##*/}.log
