Keep seeking a daemon that left, in case it starts again without the store

Change: the link stays for ten minutes and is tried once a second after the first ten seconds. The daemon no longer counts in the shares one retry window after it left, as before.

--- a/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
@@ -53,9 +53,11 @@
     /// Tells the other daemon that this one leaves the fleet. Has no effect while the link is not usable.
     void announce_departure();
 
-    /// Returns whether the other daemon left the fleet at least `retention` ago and holds no call, so that
-    /// the link can be removed.
-    bool is_obsolete(core::time_point now, core::duration retention) const;
+    /// Returns whether the other daemon announced at least `time` ago that it leaves, and is not connected.
+    bool has_left_for(core::duration time, core::time_point now) const;
+
+    /// Returns whether calls sent to the other daemon have no reply yet.
+    bool has_open_calls() const noexcept { return !this->open_calls.empty(); }
 
     /// Closes the connection. The link must not be used afterwards.
     void close();
@@ -110,6 +112,9 @@
 
     static constexpr core::duration connect_timeout = std::chrono::milliseconds{400};
     static constexpr core::duration reconnect_delay = std::chrono::milliseconds{200};
+    /// The same for a daemon that left a while ago. It is still sought, since a daemon that is started again
+    /// while the store is away knows no member, and learns the configuration from those that connect to it.
+    static constexpr core::duration departed_reconnect_delay = std::chrono::seconds{1};
     /// Time without a connection until open calls are reported as stalled.
     static constexpr core::duration stall_timeout = std::chrono::milliseconds{300};
 
--- a/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
@@ -57,8 +57,11 @@
 
     void add_link(const std::shared_ptr<peer_link>& link) { this->placement.add_link(link); }
 
-    /// Forgets a daemon that left the fleet and holds no call.
-    void remove_daemon(const std::string& daemon_id);
+    /// Forgets what a daemon that left the fleet reported.
+    void forget_reports(const std::string& daemon_id);
+
+    /// Removes the link to a daemon that holds no call.
+    void remove_link(const std::string& daemon_id) { this->placement.remove_daemon(daemon_id); }
 
     void on_reply(reply_message reply);
     void on_call_lost(std::uint64_t call_id);
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -16,6 +16,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace laburnumreach::sidecar
 {
@@ -82,7 +83,7 @@
     void update_store_role();
     void announce_config();
     void sync_links();
-    void remove_obsolete_links(core::time_point now);
+    void forget_departed_daemons(core::time_point now);
     void update_daemon_count();
     bool apply_config(const std::string& document);
     void on_control(const std::shared_ptr<exchange>& request);
@@ -113,6 +114,7 @@
     call_ratio_estimator ratio_estimator;
     std::vector<call_ratio> own_ratios; ///< As of the last measurement; each probe is answered with them.
     std::unordered_map<std::string, std::shared_ptr<peer_link>> links;
+    std::set<std::string> departed; ///< Daemons with a link that no longer count in the shares of limits.
     std::shared_ptr<const peer_link_callbacks> link_callbacks;
     std::optional<http_listener> outbound;
     std::optional<http_listener> ready;
--- a/packages/sidecar/src/peer_link.cpp
+++ b/packages/sidecar/src/peer_link.cpp
@@ -41,10 +41,9 @@
     }
 }
 
-bool peer_link::is_obsolete(core::time_point now, core::duration retention) const
+bool peer_link::has_left_for(core::duration time, core::time_point now) const
 {
-    return this->left_since && now - *this->left_since >= retention && this->state != phase::connected &&
-           this->open_calls.empty();
+    return this->left_since && now - *this->left_since >= time && this->state != phase::connected;
 }
 
 void peer_link::close()
@@ -247,11 +246,12 @@
 
 void peer_link::tick(core::time_point now)
 {
+    constexpr core::duration quick_reconnect_time = std::chrono::seconds{10}; // A restart takes less.
     switch (this->state)
     {
     case phase::waiting:
-        // A daemon that left and holds no call is not sought; if it is restarted, its new record arrives.
-        if (now - this->phase_start > reconnect_delay && !(this->left_since && this->open_calls.empty()))
+        if (now - this->phase_start >
+            (this->has_left_for(quick_reconnect_time, now) ? departed_reconnect_delay : reconnect_delay))
         {
             this->connect();
         }
--- a/packages/sidecar/src/request_router.cpp
+++ b/packages/sidecar/src/request_router.cpp
@@ -63,9 +63,8 @@
     this->daemon_count = count;
 }
 
-void request_router::remove_daemon(const std::string& daemon_id)
+void request_router::forget_reports(const std::string& daemon_id)
 {
-    this->placement.remove_daemon(daemon_id);
     this->overload_shedder.remove_daemon(daemon_id);
     this->admissions.remove_daemon(daemon_id);
     this->own_zone_demand.remove_daemon(daemon_id);
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -300,7 +300,7 @@
     }
     this->last_connection_check = now;
     this->update_store_role();
-    this->remove_obsolete_links(now);
+    this->forget_departed_daemons(now);
     for (std::optional<http_listener>* listener :
          {&this->outbound, &this->ready, &this->control, &this->metrics})
     {
--- a/packages/sidecar/src/sidecar_daemon_members.cpp
+++ b/packages/sidecar/src/sidecar_daemon_members.cpp
@@ -62,6 +62,10 @@
     for (const auto& [id, record] : this->fleet.members().members())
     {
         const auto known = this->links.find(id);
+        if (!record.left)
+        {
+            this->departed.erase(id);
+        }
         if (known != this->links.end())
         {
             known->second->update(record);
@@ -80,35 +84,42 @@
     this->update_daemon_count();
 }
 
-/// Removes the links to daemons that left. Until the window of the retry budget has passed, such a daemon
-/// still counts, since the share that it used up must not be given to the others as well.
-void sidecar_daemon::remove_obsolete_links(core::time_point now)
+/// Forgets what daemons that left reported, and no longer counts them, when the window of the retry budget
+/// has passed since: until then, the share that such a daemon used up must not be given to the others as
+/// well. Its link stays for some minutes, in case the daemon is started again while the store is away.
+void sidecar_daemon::forget_departed_daemons(core::time_point now)
 {
-    const std::size_t removed = std::erase_if(this->links,
-                                              [&](const auto& entry)
-                                              {
-                                                  const auto& [id, link] = entry;
-                                                  if (!link->is_obsolete(now, this->settings.retry_window))
-                                                  {
-                                                      return false;
-                                                  }
-                                                  this->events.state_event("peer_removed", {{"peer", id}});
-                                                  link->close();
-                                                  this->router.remove_daemon(id);
-                                                  this->store_works_at_peer.erase(id);
-                                                  return true;
-                                              });
-    if (removed > 0)
+    constexpr core::duration link_retention = std::chrono::minutes{10};
+    for (const auto& [id, link] : this->links)
     {
-        this->update_daemon_count();
+        if (link->has_left_for(this->settings.retry_window, now) && this->departed.insert(id).second)
+        {
+            this->events.state_event("peer_removed", {{"peer", id}});
+            this->router.forget_reports(id);
+            this->store_works_at_peer.erase(id);
+        }
     }
+    std::erase_if(this->links,
+                  [&](const auto& entry)
+                  {
+                      const auto& [id, link] = entry;
+                      if (!link->has_left_for(link_retention, now) || link->has_open_calls())
+                      {
+                          return false;
+                      }
+                      link->close();
+                      this->router.remove_link(id);
+                      this->departed.erase(id);
+                      return true;
+                  });
+    this->update_daemon_count();
 }
 
 void sidecar_daemon::update_daemon_count()
 {
     // Before the first member list is read, more daemons may exist than are known here.
     const std::size_t assumed_daemons = customer_limiter_options{}.initial_daemon_count;
-    const std::size_t known_daemons = this->links.size() + 1;
+    const std::size_t known_daemons = this->links.size() - this->departed.size() + 1;
     this->router.set_daemon_count(this->member_list_received ? known_daemons
                                                              : std::max(known_daemons, assumed_daemons));
 }
--- a/packages/sidecar/tests/sidecar_daemon_test.cpp
+++ b/packages/sidecar/tests/sidecar_daemon_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(reload_of_a_broken_file_keeps_the_settings);
     CPPUNIT_TEST(reload_reports_what_needs_a_restart);
     CPPUNIT_TEST(daemon_that_stops_is_removed_by_the_others);
+    CPPUNIT_TEST(removed_daemon_that_starts_without_the_store_is_found);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -72,6 +73,20 @@
         CPPUNIT_ASSERT(other.waits_for("event=peer_removed peer=leaver"));
     }
 
+    /// It knows no member and no configuration, so it depends on the others to connect to it.
+    void removed_daemon_that_starts_without_the_store_is_found()
+    {
+        running_daemon other{"other", 3, 1500ms};
+        {
+            running_daemon leaver{"leaver", 2, 1500ms};
+            other.daemon.post_members({leaver.daemon.own_record()});
+            CPPUNIT_ASSERT(leaver.waits_for("event=peer_connected peer=other"));
+        }
+        CPPUNIT_ASSERT(other.waits_for("event=peer_removed peer=leaver"));
+        running_daemon restarted{"leaver", 2, 1500ms};
+        CPPUNIT_ASSERT(restarted.waits_for("event=peer_connected peer=other"));
+    }
+
 private:
     /// A daemon on addresses of its own, in a thread.
     struct running_daemon
