Probe idle links twice a second again

Cause: a receiver takes 1.2 s without bytes for a sign that calls were held up, which is the earliest time at which the sender may have given them up. One probe a second left 0.2 s for a machine that is short of processor time; its links would have been closed and opened again. Found by reading; not measured. Load still goes less often to daemons of a large fleet that send no call. Result: sidecar_tests 135 of 135.

--- a/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
@@ -27,8 +27,6 @@
     std::function<void(const std::string& daemon_id, const std::vector<call_ratio>&)> on_ratios;
     /// Returns the demand to report to daemons of a zone; no value if other daemons report it.
     std::function<std::optional<demand_report>(const std::string& zone)> demand_report_for;
-    /// Returns whether demand_report_for() returns a report for daemons of a zone.
-    std::function<bool(const std::string& zone)> reports_demand_to;
     std::function<bool()> store_works;
     /// Returns the tokens to transfer to a daemon with a probe.
     std::function<std::vector<customer_tokens>(const std::string& daemon_id)> take_tokens_for;
@@ -83,9 +81,6 @@
     const member_record& target() const noexcept { return this->peer; }
 
     static constexpr core::duration probe_interval = std::chrono::milliseconds{500};
-    /// Interval in a large fleet for daemons of other zones that get no calls and no reports from this one;
-    /// below peer_server::silence_timeout.
-    static constexpr core::duration idle_probe_interval = std::chrono::milliseconds{1000};
     /// Time without received bytes after a probe until a reconnect; several round trips within a region.
     static constexpr core::duration silence_timeout = std::chrono::milliseconds{700};
 
@@ -99,7 +94,6 @@
     };
 
     void connect();
-    core::duration current_probe_interval(core::time_point now) const;
     void send_probe(core::time_point now);
     void on_connected(const error_code& error);
     void on_frame(frame_type type, std::span<const std::uint8_t> body);
@@ -138,7 +132,6 @@
     core::time_point phase_start{};
     core::time_point disconnected_since{};
     core::time_point last_probe_sent{};
-    core::time_point last_call_sent{};
     bool probe_outstanding = false;
     bool probe_requested = false; ///< Send the next probe before the interval ends.
     std::uint64_t probe_sequence = 0;
--- a/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
@@ -76,12 +76,6 @@
     ///          value if other daemons report it
     std::optional<demand_report> demand_report_for(const std::string& receiving_zone) const;
 
-    /// Returns whether demand_report_for() returns a report for a zone.
-    bool reports_demand_to(const std::string& receiving_zone) const
-    {
-        return this->reports_zone_demand || receiving_zone == this->settings.zone;
-    }
-
     /// Sets whether this daemon reports the total demand of its zone to other zones. A few daemons of each
     /// zone do.
     void set_reports_zone_demand(bool value) { this->reports_zone_demand = value; }
--- a/packages/sidecar/src/peer_link.cpp
+++ b/packages/sidecar/src/peer_link.cpp
@@ -221,10 +221,6 @@
 {
     this->open_calls.emplace(call.id, false);
     this->stream->send(frame_type::call, call);
-    this->last_call_sent = core::boot_clock::now();
-    // A link that was idle may be silent without being known to be.
-    this->probe_requested =
-        this->probe_requested || this->last_call_sent - this->last_probe_sent > probe_interval;
 }
 
 void peer_link::send_cancel(std::uint64_t call_id)
@@ -271,7 +267,7 @@
             this->connect();
         }
         else if (!this->probe_outstanding &&
-                 (this->probe_requested || now - this->last_probe_sent > this->current_probe_interval(now)))
+                 (this->probe_requested || now - this->last_probe_sent > probe_interval))
         {
             this->send_probe(now);
         }
@@ -294,16 +290,6 @@
     }
 }
 
-core::duration peer_link::current_probe_interval(core::time_point now) const
-{
-    constexpr core::duration recent_call = std::chrono::seconds{2};
-    const bool may_be_idle = this->fleet.members().members().size() >= large_fleet_size &&
-                             this->peer.zone != this->fleet.own().zone && this->open_calls.empty() &&
-                             now - this->last_call_sent > recent_call &&
-                             !this->callbacks->reports_demand_to(this->peer.zone);
-    return may_be_idle ? idle_probe_interval : probe_interval;
-}
-
 void peer_link::send_probe(core::time_point now)
 {
     this->last_probe_sent = now;
--- a/packages/sidecar/src/request_router.cpp
+++ b/packages/sidecar/src/request_router.cpp
@@ -54,7 +54,7 @@
     {
         return demand_report{.customers = this->admissions.demand(), .routes = this->demand_meter.rates()};
     }
-    return this->reports_demand_to(receiving_zone) ? std::optional{this->own_zone_total} : std::nullopt;
+    return this->reports_zone_demand ? std::optional{this->own_zone_total} : std::nullopt;
 }
 
 void request_router::set_daemon_count(std::size_t count)
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -97,8 +97,6 @@
     { this->router.shedder().record_call_ratios(daemon_id, ratios); };
     callbacks->demand_report_for = [this](const std::string& zone)
     { return this->router.demand_report_for(zone); };
-    callbacks->reports_demand_to = [this](const std::string& zone)
-    { return this->router.reports_demand_to(zone); };
     callbacks->store_works = [this] { return this->store_works; };
     callbacks->take_tokens_for = [this](const std::string& daemon_id)
     { return this->router.admission().take_surplus(daemon_id, core::boot_clock::now()); };
