Share the stand-ins of the peer server's and the daemon's tests

Cause: further tests need the fake instance, the fake peer and a running daemon. They move into headers of their own; the tests that used them keep their assertions.

--- a/packages/sidecar/tests/peer_server_test.cpp
+++ b/packages/sidecar/tests/peer_server_test.cpp
@@ -1,133 +1,14 @@
-#include "laburnumreach/sidecar/peer_server.hpp"
-
 #include "laburnumreach/sidecar/call_reasons.hpp"
-#include "laburnumreach/sidecar/server_connection.hpp"
-#include "test_names.hpp"
+#include "peer_server_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <map>
 
 namespace laburnumreach::sidecar
 {
 
-using namespace std::chrono_literals;
-
-namespace
-{
-
-constexpr std::uint64_t sender_started_ms = 7;
-constexpr std::uint64_t own_started_ms = 9;
-
-/// HTTP server on the loopback address in place of an instance. Responds when the test calls answer().
-class fake_instance
-{
-public:
-    explicit fake_instance(asio::io_context& io)
-        : acceptor(io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}),
-          context(std::make_shared<server_context>())
-    {
-        this->context->limits = [] { return caller_limits{}; };
-        this->context->handle = [this](const std::shared_ptr<exchange>& request)
-        { this->requests.push_back(request); };
-        this->accept();
-    }
-
-    void answer(std::size_t index)
-    {
-        const std::string id{http::find_header(this->requests.at(index)->head.headers, "X-Attempt")};
-        this->requests.at(index)->respond(
-            {.status = 200, .fields = "X-Attempt: " + id + "\r\nX-Signature: s\r\n", .body = "whole"});
-    }
-
-    tcp::acceptor acceptor;
-    std::vector<std::shared_ptr<exchange>> requests;
-
-private:
-    void accept()
-    {
-        this->acceptor.async_accept(
-            [this](const error_code& error, tcp::socket socket)
-            {
-                if (!error)
-                {
-                    std::make_shared<server_connection>(std::move(socket), this->context)->start();
-                    this->accept();
-                }
-            });
-    }
-
-    std::shared_ptr<server_context> context;
-};
-
-/// Client that sends and receives frames in place of another daemon.
-class fake_peer
-{
-public:
-    fake_peer(asio::io_context& io, const tcp::endpoint& address)
-    {
-        tcp::socket socket{io};
-        socket.connect(address);
-        this->stream = std::make_shared<frame_stream>(std::move(socket));
-        this->stream->start(
-            [this](frame_type type, std::span<const std::uint8_t> body)
-            {
-                ++this->frames[type];
-                if (type == frame_type::reply)
-                {
-                    this->replies.push_back(*protocol::decode_message<reply_message>(body));
-                }
-            },
-            [this] { this->closed = true; });
-    }
-
-    void send_hello(std::vector<std::uint64_t> pending = {}, std::uint64_t sender_ms = sender_started_ms,
-                    const std::string& daemon_id = "peer")
-    {
-        this->stream->send(frame_type::hello,
-                           hello_message{.sender = {.daemon_id = daemon_id, .started_ms = sender_ms},
-                                         .pending_calls = std::move(pending),
-                                         .receiver_started_ms = own_started_ms});
-    }
-
-    void send_probe(std::uint64_t config_version)
-    {
-        this->stream->send(frame_type::probe, probe_message{.sequence = 1,
-                                                            .config_version = config_version,
-                                                            .member_digest = 1,
-                                                            .demand = {},
-                                                            .tokens = {}});
-    }
-
-    void send_call(std::uint64_t id, bool idempotent)
-    {
-        this->stream->send(frame_type::call,
-                           call_message{.id = id,
-                                        .service = "s",
-                                        .route = "r",
-                                        .attempt_id = "a-" + std::to_string(id),
-                                        .method = "GET",
-                                        .target = "/",
-                                        .fields = "Host: h\r\nX-Attempt: a-" + std::to_string(id) + "\r\n",
-                                        .remaining_ms = 60'000,
-                                        .idempotent = idempotent});
-    }
-
-    std::shared_ptr<frame_stream> stream;
-    std::vector<reply_message> replies;
-    std::map<frame_type, int> frames; ///< Number of received frames by type.
-    bool closed = false;
-};
-
-reply_kind kind_of(const reply_message& reply)
-{
-    return static_cast<reply_kind>(reply.kind);
-}
-
-} // namespace
-
 /// Guards against calls that run twice, or whose outcome is misreported, after a broken connection between
 /// daemons.
-class peer_server_test : public CppUnit::TestFixture
+class peer_server_test : public peer_server_fixture
 {
     CPPUNIT_TEST_SUITE(peer_server_test);
     CPPUNIT_TEST(call_is_answered_on_a_new_connection);
@@ -145,12 +26,6 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override
-    {
-        this->state.apply({.id = "i", .address = "a", .service = "s", .slots = 10, .sequence = 1});
-        this->accept();
-    }
-
     void call_is_answered_on_a_new_connection()
     {
         fake_peer first{this->io, this->address()};
@@ -328,60 +203,6 @@
         this->run_until([&] { return peers.back()->frames[frame_type::status] == 2; });
         CPPUNIT_ASSERT_EQUAL(2, peers.back()->frames[frame_type::status]);
     }
-
-private:
-    tcp::endpoint address() const { return this->acceptor.local_endpoint(); }
-
-    void accept()
-    {
-        this->acceptor.async_accept(
-            [this](const error_code& error, tcp::socket socket)
-            {
-                if (!error)
-                {
-                    this->server.accept(std::move(socket));
-                    this->accept();
-                }
-            });
-    }
-
-    template <typename Condition>
-    void run_until(Condition met, core::duration limit = 5s)
-    {
-        const core::time_point begin = core::boot_clock::now();
-        for (this->elapsed = {}; !met() && this->elapsed < limit;
-             this->elapsed = core::boot_clock::now() - begin)
-        {
-            this->io.run_one_for(10ms);
-        }
-    }
-
-    void run_for(core::duration time)
-    {
-        this->run_until([] { return false; }, time);
-    }
-
-    asio::io_context io;
-    event_log log{"test"};
-    sidecar_metrics metrics;
-    fake_instance instance{this->io};
-    instance_state state{"a"};
-    instance_dispatcher dispatcher{
-        this->io,
-        {.instance_address = this->instance.acceptor.local_endpoint(), .names = test_names()},
-        this->state,
-        this->log,
-        this->metrics};
-    fleet_state fleet{{.daemon_id = "self", .started_ms = own_started_ms}};
-    peer_server server{this->dispatcher,
-                       this->fleet,
-                       this->log,
-                       {.ratios = [] { return std::span<const call_ratio>{}; },
-                        .on_probe = [](const member_record&, const probe_message&) {},
-                        .on_token_request = [](const token_request_message& request)
-                        { return token_grant_message{.id = request.id}; }}};
-    tcp::acceptor acceptor{this->io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
-    core::duration elapsed{};
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(peer_server_test);
 
--- a/packages/sidecar/tests/sidecar_daemon_test.cpp
+++ b/packages/sidecar/tests/sidecar_daemon_test.cpp
@@ -1,9 +1,9 @@
 #include "laburnumreach/sidecar/sidecar_daemon.hpp"
 
 #include "log_pipe.hpp"
+#include "running_daemon.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <thread>
 
 namespace laburnumreach::sidecar
 {
@@ -63,8 +63,8 @@
     /// Otherwise every share of a limit would be divided by the number of all daemons that ever ran.
     void daemon_that_stops_is_removed_by_the_others()
     {
-        running_daemon leaver{"leaver", 2};
-        running_daemon other{"other", 3};
+        running_daemon leaver{{.id = "leaver", .address = 2}};
+        running_daemon other{{.id = "other", .address = 3}};
         other.connect_to(leaver);
         leaver.stop();
         CPPUNIT_ASSERT(other.waits_for("event=peer_left peer=leaver"));
@@ -74,85 +74,17 @@
     /// It knows no member and no configuration, so it depends on the others to connect to it.
     void removed_daemon_that_starts_without_the_store_is_found()
     {
-        running_daemon other{"other", 3};
+        running_daemon other{{.id = "other", .address = 3}};
         {
-            running_daemon leaver{"leaver", 2};
+            running_daemon leaver{{.id = "leaver", .address = 2}};
             other.connect_to(leaver);
         }
         CPPUNIT_ASSERT(other.waits_for("event=peer_removed peer=leaver"));
-        running_daemon restarted{"leaver", 2};
+        running_daemon restarted{{.id = "leaver", .address = 2}};
         CPPUNIT_ASSERT(restarted.waits_for("event=peer_connected peer=other"));
     }
 
 private:
-    /// A daemon on addresses of its own, in a thread.
-    struct running_daemon
-    {
-        running_daemon(const std::string& id, unsigned address)
-            : log(id, this->pipe.descriptor()), daemon(settings_of(id, address), {}, this->log)
-        {
-            this->daemon.open();
-            this->thread = std::thread{[this] { this->daemon.run(); }};
-        }
-
-        ~running_daemon() { this->stop(); }
-
-        running_daemon(const running_daemon&) = delete;
-        running_daemon& operator=(const running_daemon&) = delete;
-
-        void stop()
-        {
-            if (this->thread.joinable())
-            {
-                this->daemon.post_stop();
-                this->thread.join();
-            }
-        }
-
-        const std::string& id() const { return this->daemon.own_record().daemon_id; }
-
-        bool waits_for(const std::string& line)
-        {
-            const core::time_point limit = core::boot_clock::now() + 10s;
-            while (!this->pipe.contains(line) && core::boot_clock::now() < limit)
-            {
-                std::this_thread::sleep_for(10ms);
-            }
-            return this->pipe.contains(line);
-        }
-
-        /// Tells this daemon of another one, and waits until they are connected both ways.
-        void connect_to(running_daemon& other)
-        {
-            this->daemon.post_members({other.daemon.own_record()});
-            CPPUNIT_ASSERT(this->waits_for("event=peer_connected peer=" + other.id()));
-            CPPUNIT_ASSERT(other.waits_for("event=peer_connected peer=" + this->id()));
-        }
-
-        static config::sidecar_settings settings_of(const std::string& id, unsigned address)
-        {
-            const std::string ip = "127.199.7." + std::to_string(address);
-            return {.daemon_id = id,
-                    .zone = "z",
-                    .service = "s",
-                    .upstream = {.address = ip, .port = 7401},
-                    .outbound = {.address = ip, .port = 7402},
-                    .ready = {.address = ip, .port = 7403},
-                    .control = {.address = ip, .port = 7404},
-                    .peers = {.address = ip, .port = 7405},
-                    .announced_address = ip,
-                    .metrics_port = 7406,
-                    .store = {.address = ip, .port = 7407},
-                    .stop_grace = 1500ms,
-                    .retry_window = 200ms};
-        }
-
-        log_pipe pipe;
-        event_log log;
-        sidecar_daemon daemon;
-        std::thread thread;
-    };
-
     static config::sidecar_settings settings()
     {
         const config::endpoint address{.address = "127.0.0.1", .port = 1};
