Report a call as never received only if it never was

Cause: the dispatcher removed a call when its run ended, and posted its reply. A cancellation in between, by the check for daemons that do not reconnect, was told that the call does not continue; the peer server forgot the call and dropped the reply that followed. When the other daemon asked, the call was unknown, which was taken for "never received", a proof that it did not start.

Change: cancel() tells apart calls that never start, are aborted, continue (also those whose reply is on its way) and are unknown. What became of an abandoned call is kept like a reply. Each send of a call has a higher id than all before, so a receiver knows from the id whether the call ever arrived; a call that arrived but is forgotten is reported as "may have run". A cancellation during the handshake reaches the other daemon. New log line calls_resumed. The format between daemons is unchanged.

Related paths that were wrong too: an aborted repeatable run, and a call whose reply had expired, were reported as never received; a reply to an earlier send of a request was taken for one to the current send.

--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -12,11 +12,21 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace laburnumreach::sidecar
 {
 
+/// What becomes of a call after its cancellation.
+enum class cancel_result : std::uint8_t
+{
+    never_starts, ///< The call was queued and is dropped. Its handler is not called.
+    aborted,      ///< The call was running and is cut off; it may have run. Its handler is not called.
+    continues,    ///< The call runs on, or has ended and its reply is on the way. Its handler is called.
+    unknown,      ///< No such call: its handler has been called already.
+};
+
 /// Queues calls and runs them on the instance on this VM. A run is one execution of a call by the instance.
 ///
 /// Only the dispatcher starts calls on its instance, so its reply that a call was not started is reliable
@@ -41,14 +51,13 @@
                         event_log& log, sidecar_metrics& metrics);
 
     /// Queues a call, or refuses it.
-    /// @param handler called once with the reply, never from within submit(); not called after cancel()
-    ///        unless the call continues
+    /// @param handler called once with the reply, never from within submit(); after cancel() as its result
+    ///        says
     ticket submit(call_message call, reply_handler handler);
 
     /// Cancels a call. A queued call never starts; a running idempotent call is aborted. A running call that
-    /// is not idempotent continues, and its handler is called.
-    /// @returns whether the call continues
-    bool cancel(ticket id);
+    /// is not idempotent continues.
+    cancel_result cancel(ticket id);
 
     /// Expires calls and idle connections. Call it every few milliseconds.
     void tick(core::time_point now);
@@ -79,8 +88,8 @@
     /// Returns the number of connections to the instance that are kept for further calls.
     std::size_t idle_connection_count() const noexcept { return this->idle_connections.size(); }
 
-    /// Returns the number of running and queued calls.
-    std::size_t open_calls() const noexcept { return this->calls.size(); }
+    /// Returns the number of calls whose handler has not been called: queued, running, or just ended.
+    std::size_t open_calls() const noexcept { return this->calls.size() + this->ended_calls.size(); }
 
     /// Returns the number of started runs by route since the last call of this function, and resets it.
     std::unordered_map<std::string, std::uint32_t> take_run_starts()
@@ -135,6 +144,7 @@
     sidecar_metrics& counters;
     std::shared_ptr<read_allowance> allowance = std::make_shared<read_allowance>();
     std::unordered_map<ticket, open_call> calls;
+    std::unordered_set<ticket> ended_calls; ///< Calls that have ended; their handlers are about to be called.
     slot_queue queue;
     /// Ordered by last use, the most recent at the end.
     std::vector<std::shared_ptr<instance_connection>> idle_connections;
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
@@ -79,7 +79,7 @@
 /// A request for the instance on the receiver's VM.
 struct call_message
 {
-    std::uint64_t id = 0; ///< Unique for one process of the sender.
+    std::uint64_t id = 0; ///< Higher than that of every call sent before by this process of the sender.
     std::string service;
     std::string route;
     std::string attempt_id;
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
@@ -68,6 +68,9 @@
         member_record sender;
         std::shared_ptr<frame_stream> stream;
         std::unordered_map<std::uint64_t, open_call> open_calls;
+        /// Highest id of a received call. The sender's ids increase, and frames arrive in order, so a call
+        /// with a higher id was never received, and any other one was.
+        std::uint64_t last_received_call = 0;
         core::time_point disconnected_since{};
         core::time_point last_call{};   ///< Time of the last call from this daemon.
         core::time_point status_sent{}; ///< Time of the last status that was broadcast to it.
@@ -82,14 +85,15 @@
     void on_hello(const std::shared_ptr<frame_stream>& stream, std::string& daemon_id,
                   const hello_message& hello);
     void resume(session& peer, const hello_message& hello);
+    reply_message missing_call_reply(const session& peer, std::uint64_t call_id) const;
     void on_call(const std::string& daemon_id, call_message call);
     void on_reply(const std::string& daemon_id, std::uint64_t started_ms, reply_message reply);
-    void cancel_call(session& peer, std::uint64_t call_id);
+    cancel_result cancel_call(session& peer, std::uint64_t call_id);
     void cancel_all_calls(session& peer);
+    void abandon_calls(const std::string& daemon_id, session& peer);
 
-    /// Time after the deadline of a call for which its reply is kept, in case the connection was lost. The
-    /// sender does not ask for a call after its deadline, so a finished call is never reported as not
-    /// received.
+    /// Time after the deadline of a call for which its reply is kept, in case the connection was lost. A
+    /// sender asks for a call after its deadline only if it was suspended meanwhile.
     static constexpr core::duration reply_retention = std::chrono::seconds{1};
     /// A tenth of the memory of the smallest VM.
     static constexpr std::size_t max_retained_bytes = 16 * 1024 * 1024;
--- a/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
@@ -63,9 +63,10 @@
     /// Removes the link to a daemon that holds no call.
     void remove_link(const std::string& daemon_id) { this->placement.remove_daemon(daemon_id); }
 
+    /// Applies the outcome of a call. Calls are named by the id that their last send had.
     void on_reply(reply_message reply);
-    void on_call_lost(std::uint64_t call_id);
-    void on_call_stalled(std::uint64_t call_id);
+    void on_call_lost(std::uint64_t send_id);
+    void on_call_stalled(std::uint64_t send_id);
     void on_status(const std::string& daemon_id, const instance_status& status);
 
     /// Records the demand and the tokens that a probe of another daemon carries.
@@ -121,6 +122,7 @@
     const std::string* choose_daemon(const routed_call& call) const;
     bool try_place(routed_call& call);
     void send(routed_call& call, const std::string& daemon_id);
+    routed_call* find_sent(std::uint64_t send_id);
     void place_or_wait(routed_call& call);
     void retry_or_fail(routed_call& call, bool may_have_run, std::string_view reason);
     void respond(routed_call& call, http_response reply, std::string_view outcome);
@@ -144,6 +146,9 @@
     instance_placement placement;
     std::shared_ptr<const routing_config> config;
     std::unordered_map<std::uint64_t, routed_call> calls;
+    /// Ids of calls by the id of their last send. Every send has an id of its own, higher than all before, so
+    /// that a reply belongs to one send and a receiver knows from an id whether it got the call.
+    std::unordered_map<std::uint64_t, std::uint64_t> calls_by_send;
     std::set<std::pair<core::time_point, std::uint64_t>> by_deadline;
     std::set<std::uint64_t> unplaced; ///< Ids of calls that wait for an available instance.
     std::unordered_map<std::string, retry_budget> retry_budgets;
@@ -157,6 +162,7 @@
     bool reports_zone_demand = true;
     std::size_t daemon_count = 0; ///< Zero before it is known.
     std::uint64_t next_call_id = 1;
+    std::uint64_t next_send_id = 1;
     bool refusing_new_calls = false;
 };
 
--- a/packages/sidecar/src/instance_dispatcher.cpp
+++ b/packages/sidecar/src/instance_dispatcher.cpp
@@ -139,12 +139,12 @@
                });
 }
 
-bool instance_dispatcher::cancel(ticket id)
+cancel_result instance_dispatcher::cancel(ticket id)
 {
     const auto found = this->calls.find(id);
     if (found == this->calls.end())
     {
-        return false;
+        return this->ended_calls.contains(id) ? cancel_result::continues : cancel_result::unknown;
     }
     open_call& call = found->second;
     if (call.connection == nullptr)
@@ -152,18 +152,18 @@
         this->queue.remove(id);
         this->calls.erase(found);
         this->counters.count("exit_cancelled_total", "waiting");
-        return false;
+        return cancel_result::never_starts;
     }
     if (!call.message.idempotent)
     {
-        return true;
+        return cancel_result::continues;
     }
     call.connection->close();
     this->calls.erase(found);
     --this->running;
     this->counters.count("exit_cancelled_total", "running");
     this->start_queued();
-    return false;
+    return cancel_result::aborted;
 }
 
 void instance_dispatcher::tick(core::time_point now)
@@ -453,8 +453,13 @@
                                  {"queued", std::to_string(this->queue.size())}});
     }
     // Posted, so that submit() returns the ticket before the handler is called.
-    asio::post(this->io, [handler = std::move(call.handler), reply = std::move(reply)]() mutable
-               { handler(std::move(reply)); });
+    this->ended_calls.insert(id);
+    asio::post(this->io,
+               [this, id, handler = std::move(call.handler), reply = std::move(reply)]() mutable
+               {
+                   this->ended_calls.erase(id);
+                   handler(std::move(reply));
+               });
 }
 
 void instance_dispatcher::refuse(ticket id, std::string_view reason)
--- a/packages/sidecar/src/peer_link.cpp
+++ b/packages/sidecar/src/peer_link.cpp
@@ -215,8 +215,10 @@
 
 void peer_link::send_cancel(std::uint64_t call_id)
 {
-    // If the link is down, the next hello does not list the call, which cancels it too.
-    if (this->open_calls.erase(call_id) > 0 && this->state == phase::connected)
+    // If the link is down, the next hello does not list the call, which cancels it too. One that has been
+    // sent already does.
+    const bool hello_sent = this->state == phase::connected || this->state == phase::handshake;
+    if (this->open_calls.erase(call_id) > 0 && hello_sent)
     {
         this->stream->send(frame_type::cancel, cancel_message{.id = call_id});
     }
--- a/packages/sidecar/src/peer_server.cpp
+++ b/packages/sidecar/src/peer_server.cpp
@@ -160,31 +160,57 @@
     {
         this->cancel_call(peer, id);
     }
+    std::size_t running = 0;
+    std::size_t resent = 0;
+    std::size_t never_received = 0;
+    std::size_t unknown = 0;
     for (const std::uint64_t id : hello.pending_calls)
     {
         if (peer.open_calls.contains(id))
         {
-            continue;
+            ++running;
         }
-        if (const reply_message* kept = this->recent_replies.find(hello.sender.daemon_id, id))
+        else if (const reply_message* kept = this->recent_replies.find(hello.sender.daemon_id, id))
         {
+            ++resent;
             peer.stream->send(frame_type::reply, *kept);
-            continue;
         }
-        peer.stream->send(frame_type::reply,
-                          reply_message{.id = id,
-                                        .kind = static_cast<std::uint8_t>(reply_kind::not_started),
-                                        .reason = std::string{call_reason::never_received},
-                                        .load = this->dispatcher.status()});
+        else
+        {
+            const reply_message reply = this->missing_call_reply(peer, id);
+            ++(reply.reason == call_reason::never_received ? never_received : unknown);
+            peer.stream->send(frame_type::reply, reply);
+        }
+    }
+    if (!hello.pending_calls.empty())
+    {
+        this->events.state_event("calls_resumed", {{"peer", hello.sender.daemon_id},
+                                                   {"running", std::to_string(running)},
+                                                   {"resent", std::to_string(resent)},
+                                                   {"never_received", std::to_string(never_received)},
+                                                   {"outcome_unknown", std::to_string(unknown)},
+                                                   {"withdrawn", std::to_string(cancelled.size())}});
     }
 }
 
+/// Returns the reply to a call of which neither a run nor a reply is known any more.
+reply_message peer_server::missing_call_reply(const session& peer, std::uint64_t call_id) const
+{
+    const bool never_received = call_id > peer.last_received_call;
+    return {.id = call_id,
+            .kind = static_cast<std::uint8_t>(never_received ? reply_kind::not_started : reply_kind::failed),
+            .reason =
+                std::string{never_received ? call_reason::never_received : call_reason::outcome_unknown},
+            .load = this->dispatcher.status()};
+}
+
 void peer_server::on_call(const std::string& daemon_id, call_message call)
 {
     session& peer = this->sessions.at(daemon_id);
     const std::uint64_t id = call.id;
     const std::uint64_t started_ms = peer.sender.started_ms;
     peer.last_call = core::boot_clock::now();
+    peer.last_received_call = std::max(peer.last_received_call, id);
     const core::time_point deadline = peer.last_call + std::chrono::milliseconds{call.remaining_ms};
     peer.open_calls[id] = {
         .ticket = this->dispatcher.submit(std::move(call), [this, daemon_id, started_ms](reply_message reply)
@@ -215,16 +241,23 @@
                              std::max(deadline, core::boot_clock::now()) + reply_retention);
 }
 
-void peer_server::cancel_call(session& peer, std::uint64_t call_id)
+/// Cancels a call. One whose handler will still be called stays open, so that its reply is sent and kept.
+cancel_result peer_server::cancel_call(session& peer, std::uint64_t call_id)
 {
     const auto call = peer.open_calls.find(call_id);
-    // A call that continues to run is kept, so that it is never reported as not received.
-    if (call != peer.open_calls.end() && !this->dispatcher.cancel(call->second.ticket))
+    if (call == peer.open_calls.end())
+    {
+        return cancel_result::unknown;
+    }
+    const cancel_result result = this->dispatcher.cancel(call->second.ticket);
+    if (result != cancel_result::continues)
     {
         peer.open_calls.erase(call);
     }
+    return result;
 }
 
+/// Cancels the calls of a daemon that has forgotten them.
 void peer_server::cancel_all_calls(session& peer)
 {
     std::vector<std::uint64_t> ids;
@@ -238,6 +271,27 @@
     }
 }
 
+/// Cancels the calls of a daemon that does not reconnect, and keeps what became of them: it may still ask.
+void peer_server::abandon_calls(const std::string& daemon_id, session& peer)
+{
+    const std::unordered_map<std::uint64_t, open_call> abandoned = peer.open_calls;
+    for (const auto& [id, call] : abandoned)
+    {
+        const cancel_result result = this->cancel_call(peer, id);
+        if (result == cancel_result::never_starts || result == cancel_result::aborted)
+        {
+            const reply_kind kind =
+                result == cancel_result::aborted ? reply_kind::failed : reply_kind::not_started;
+            this->recent_replies.add(daemon_id,
+                                     {.id = id,
+                                      .kind = static_cast<std::uint8_t>(kind),
+                                      .reason = std::string{call_reason::link_lost},
+                                      .load = this->dispatcher.status()},
+                                     call.deadline + reply_retention);
+        }
+    }
+}
+
 void peer_server::tick(core::time_point now)
 {
     this->recent_replies.expire(now);
@@ -251,7 +305,7 @@
         if (peer.stream == nullptr && !peer.open_calls.empty() &&
             now - peer.disconnected_since > disconnect_timeout)
         {
-            this->cancel_all_calls(peer);
+            this->abandon_calls(daemon_id, peer);
         }
     }
 }
--- a/packages/sidecar/src/request_router.cpp
+++ b/packages/sidecar/src/request_router.cpp
@@ -192,7 +192,6 @@
     {
         call.deadline = std::min(call.deadline, now + std::chrono::milliseconds{*caller_timeout_ms});
     }
-    call.message.id = call.id;
     call.message.service = service;
     call.message.route = matched.name;
     call.message.attempt_id = http::find_header(request->head.headers, names.attempt_id);
@@ -263,6 +262,9 @@
 {
     const core::time_point now = core::boot_clock::now();
     call.daemon_id = daemon_id;
+    this->calls_by_send.erase(call.message.id);
+    call.message.id = this->next_send_id++;
+    this->calls_by_send.emplace(call.message.id, call.id);
     call.message.remaining_ms = to_ms(call.deadline - now);
     this->placement.record_sent(daemon_id);
     if (daemon_id == this->settings.daemon_id)
@@ -280,14 +282,22 @@
     this->overload_shedder.record_status(daemon_id, status);
 }
 
+/// @returns the call of which a send is the last one; null if there is none
+routed_call* request_router::find_sent(std::uint64_t send_id)
+{
+    const auto found = this->calls_by_send.find(send_id);
+    return found == this->calls_by_send.end() ? nullptr : &this->calls.at(found->second);
+}
+
 void request_router::on_reply(reply_message reply)
 {
-    const auto found = this->calls.find(reply.id);
-    if (found == this->calls.end())
+    routed_call* const sent = this->find_sent(reply.id);
+    if (sent == nullptr)
     {
         return;
     }
-    routed_call& call = found->second;
+    this->calls_by_send.erase(reply.id);
+    routed_call& call = *sent;
     switch (static_cast<reply_kind>(reply.kind))
     {
     case reply_kind::response:
@@ -318,24 +328,24 @@
     }
 }
 
-void request_router::on_call_lost(std::uint64_t call_id)
+void request_router::on_call_lost(std::uint64_t send_id)
 {
-    const auto found = this->calls.find(call_id);
-    if (found != this->calls.end())
+    if (routed_call* const call = this->find_sent(send_id))
     {
-        this->retry_or_fail(found->second, true, call_reason::link_lost);
+        this->calls_by_send.erase(send_id);
+        this->retry_or_fail(*call, true, call_reason::link_lost);
     }
 }
 
-void request_router::on_call_stalled(std::uint64_t call_id)
+void request_router::on_call_stalled(std::uint64_t send_id)
 {
-    const auto found = this->calls.find(call_id);
-    if (found == this->calls.end() || !found->second.message.idempotent)
+    routed_call* const call = this->find_sent(send_id);
+    if (call == nullptr || !call->message.idempotent)
     {
         return; // A call that must not run twice waits for the reconnect.
     }
-    this->cancel_at_daemon(found->second);
-    this->retry_or_fail(found->second, true, call_reason::link_lost);
+    this->cancel_at_daemon(*call);
+    this->retry_or_fail(*call, true, call_reason::link_lost);
 }
 
 void request_router::cancel_at_daemon(routed_call& call)
@@ -346,7 +356,7 @@
     }
     else if (peer_link* link = this->placement.find_link(call.daemon_id))
     {
-        link->send_cancel(call.id);
+        link->send_cancel(call.message.id);
     }
 }
 
@@ -367,6 +377,7 @@
                         {"after_ms", std::to_string(to_ms(core::boot_clock::now() - call.received))}});
     this->by_deadline.erase({call.deadline, id});
     this->unplaced.erase(id);
+    this->calls_by_send.erase(call.message.id);
     this->calls.erase(found);
 }
 
--- a/packages/sidecar/src/request_router_outcome.cpp
+++ b/packages/sidecar/src/request_router_outcome.cpp
@@ -48,6 +48,7 @@
     this->counters.count("requests_total", outcome);
     this->by_deadline.erase({call.deadline, call.id});
     this->unplaced.erase(call.id);
+    this->calls_by_send.erase(call.message.id);
     if (response.status >= http_status::first_server_error || elapsed > call.latency_objective)
     {
         this->events.request_event("request_ended",
--- a/packages/sidecar/tests/request_router_test.cpp
+++ b/packages/sidecar/tests/request_router_test.cpp
@@ -1,5 +1,7 @@
 #include "laburnumreach/sidecar/request_router.hpp"
 
+#include "fake_receiver.hpp"
+#include "laburnumreach/sidecar/call_reasons.hpp"
 #include "scripted_instance.hpp"
 #include "test_names.hpp"
 
@@ -11,7 +13,7 @@
 using namespace std::chrono_literals;
 
 /// Guards against wrong decisions on a request between its arrival and its response. The instance is beside
-/// the daemon, and no other daemon is known.
+/// the daemon, and no other daemon is known unless a test adds some.
 class request_router_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(request_router_test);
@@ -19,6 +21,8 @@
     CPPUNIT_TEST(broken_download_without_another_instance_is_a_bad_gateway);
     CPPUNIT_TEST(retries_have_no_slack_before_the_fleet_is_known);
     CPPUNIT_TEST(request_without_memory_for_it_is_refused);
+    CPPUNIT_TEST(each_daemon_gets_calls_with_increasing_ids);
+    CPPUNIT_TEST(reply_to_an_earlier_send_is_dropped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -85,6 +89,50 @@
         CPPUNIT_ASSERT_EQUAL(200, this->status_of_request());
     }
 
+    /// A receiver tells by the id whether it has received a call, so a call that is sent on to a second
+    /// daemon must not look older there than it is.
+    void each_daemon_gets_calls_with_increasing_ids()
+    {
+        this->router.on_status("d", {});
+        fake_receiver first{this->io, "other-1"};
+        fake_receiver second{this->io, "other-2"};
+        const auto to_first = this->connect(first);
+        const auto first_request = this->start_request();
+        this->run_until([&] { return first.calls.size() == 1; });
+        const auto to_second = this->connect(second);
+        this->router.on_status("other-1", {});
+        const auto second_request = this->start_request();
+        this->run_until([&] { return second.calls.size() == 1; });
+        first.send_reply(first.calls.front(), reply_kind::not_started, call_reason::instance_leaving);
+        this->run_until([&] { return second.calls.size() == 2; });
+        CPPUNIT_ASSERT(second.calls[0] < second.calls[1]);
+        second.send_reply(second.calls[1], reply_kind::response);
+        this->run_until([&] { return first_request->done(); });
+        CPPUNIT_ASSERT(!second_request->done());
+        second.send_reply(second.calls[0], reply_kind::response);
+        this->run_until([&] { return second_request->done(); });
+        to_first->close();
+        to_second->close();
+    }
+
+    void reply_to_an_earlier_send_is_dropped()
+    {
+        this->router.on_status("d", {});
+        fake_receiver other{this->io, "other"};
+        const auto link = this->connect(other);
+        const auto request = this->start_request();
+        this->run_until([&] { return other.calls.size() == 1; });
+        const std::uint64_t sent = other.calls.front();
+        other.send_reply(sent, reply_kind::not_started, call_reason::instance_leaving);
+        this->run_until([&] { return !link->has_open_calls(); });
+        this->router.on_reply({.id = sent, .kind = static_cast<std::uint8_t>(reply_kind::response)});
+        this->router.on_call_lost(sent);
+        CPPUNIT_ASSERT(!request->done());
+        this->run_until([&] { return request->done(); });
+        CPPUNIT_ASSERT_EQUAL(503, request->response().status);
+        link->close();
+    }
+
 private:
     static void close_after_the_response(scripted_instance::connection& peer)
     {
@@ -92,30 +140,61 @@
                    { asio::post(held->executor(), [held] { held->close(); }); });
     }
 
-    int status_of_request()
+    std::shared_ptr<exchange> start_request()
     {
-        const auto request = std::make_shared<exchange>();
+        auto request = std::make_shared<exchange>();
         request->head.method = "GET";
         request->head.target = "/x";
         request->head.headers.emplace("Host", "h");
         request->head.headers.emplace("X-Attempt", "a-1");
         request->received = core::boot_clock::now();
         this->router.handle(request);
+        return request;
+    }
+
+    int status_of_request()
+    {
+        const auto request = this->start_request();
+        this->run_until([&] { return request->done(); });
+        return request->response().status;
+    }
+
+    template <typename Condition>
+    void run_until(Condition condition)
+    {
         const core::time_point limit = core::boot_clock::now() + 10s;
-        while (!request->done() && core::boot_clock::now() < limit)
+        while (!condition() && core::boot_clock::now() < limit)
         {
             this->io.run_one_for(10ms);
-            this->dispatcher.tick(core::boot_clock::now());
-            this->router.tick(core::boot_clock::now());
+            const core::time_point now = core::boot_clock::now();
+            this->dispatcher.tick(now);
+            this->router.tick(now);
         }
-        CPPUNIT_ASSERT(request->done());
-        return request->response().status;
+        CPPUNIT_ASSERT(condition());
+    }
+
+    /// Connects the router to another daemon, which has an instance that is free.
+    std::shared_ptr<peer_link> connect(fake_receiver& other)
+    {
+        const auto callbacks = std::make_shared<peer_link_callbacks>(make_idle_callbacks());
+        callbacks->on_reply = [this](reply_message reply) { this->router.on_reply(std::move(reply)); };
+        callbacks->on_status = [this](const std::string& daemon_id, const instance_status& status)
+        { this->router.on_status(daemon_id, status); };
+        auto link = std::make_shared<peer_link>(this->io, other.record(), this->fleet, callbacks, this->log);
+        this->router.add_link(link);
+        link->start();
+        this->run_until([&] { return !other.hellos.empty(); });
+        const instance_status free{.instance_id = "i", .service = "s", .accepts_work = true, .slots = 10};
+        other.send_welcome(other.daemon_id, 1, free);
+        this->run_until([&] { return link->usable(); });
+        return link;
     }
 
     asio::io_context io{1};
     scripted_instance server{this->io};
     instance_state state{"a"};
     event_log log{"d"};
+    fleet_state fleet{{.daemon_id = "d", .started_ms = 3}};
     sidecar_metrics metrics;
     body_memory memory{1000};
     header_names names = test_names();
