Give an instance work only if no process of its daemon knew it as leaving

Seen by callers: after a daemon was killed and started again, its instance deregistered, and a heartbeat that was sent before arrived late.

Cause: a restarted daemon took what it was told itself for all that was acknowledged, and a heartbeat for the present state.

Change: after a restart, a heartbeat is a claim until the instance answers a health check of this process, unless it belongs to an incarnation that started after one that this process knew as not leaving. Departures are believed at once, also of an instance that is not known yet, and an answer to a check from before a departure is discarded. Contradictory heartbeats are settled by a check; before, a single odd one with a later start time replaced the instance for good, and an instance whose clock was set back never got work. Checks that fail delay work by 10 s. A health check has a time limit and a bound on its answer. A deregistration after draining no longer allows late calls for a second time.

--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -124,6 +125,7 @@
     void close_unusable_connections(core::time_point now);
     void start(ticket id);
     void start_queued();
+    bool is_in_drain_time(core::time_point now) const;
     bool can_start_in_time(const waiting_call& call, core::time_point now) const;
     void post_start_queued();
     void on_result(ticket id, instance_result result);
@@ -153,7 +155,9 @@
     std::uint32_t running = 0;
     double mean_run_ms = 0;
     core::time_point run_time_updated{}; ///< Time of the last change of mean_run_ms.
-    core::time_point leaving_since{};
+    bool gave_work = false;              ///< Whether the instance accepted work when its state changed last.
+    /// Time at which an instance that had work began to leave.
+    std::optional<core::time_point> leaving_since;
     core::time_point last_check{};
     core::time_point connect_blocked_until{};
     core::duration last_queue_wait{};
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_probe.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_probe.hpp
@@ -11,8 +11,8 @@
 namespace laburnumreach::sidecar
 {
 
-/// Finds the instance on this VM by a health check after a restart of the daemon, instead of waiting for the
-/// instance's next heartbeat.
+/// Asks the instance on this VM by health checks which incarnation runs. Only its own answer tells after a
+/// restart of the daemon that the instance is not leaving, since a heartbeat may be late.
 class instance_probe
 {
 public:
@@ -28,9 +28,17 @@
 
     instance_probe(asio::io_context& context, options initial_settings, found_handler handler);
 
-    /// Sends a health check, up to max_attempts times. Call it while the instance is unknown.
+    /// Allows further health checks, for an instance that has just shown that it runs.
+    void rearm() { this->attempts = 0; }
+
+    /// Discards the answer to a check in progress, which the instance may have given before what it has told
+    /// since.
+    void cancel();
+
+    /// Sends a health check if one is due, and ends one that takes too long. Call it every few milliseconds.
+    /// @param wanted whether the answer is needed; at most max_attempts checks are sent until rearm()
     /// @param health_path path of the check; empty while unknown
-    void run_if_due(const std::string& health_path, core::time_point now);
+    void tick(bool wanted, const std::string& health_path, core::time_point now);
 
 private:
     void on_result(const instance_result& result);
@@ -38,6 +46,10 @@
     /// Limited since health checks have a cost and heartbeats arrive anyway.
     static constexpr int max_attempts = 2;
     static constexpr core::duration retry_interval = std::chrono::milliseconds{700};
+    /// Longest time for an answer. A check waits for a slot like a request.
+    static constexpr core::duration answer_timeout = std::chrono::seconds{2};
+    /// The body of the answer is not used.
+    static constexpr std::size_t max_answer_bytes = 64 * 1024;
 
     asio::io_context& io;
     options settings;
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_state.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_state.hpp
@@ -4,6 +4,7 @@
 #include "laburnumreach/core/time.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -19,26 +20,67 @@
     std::uint32_t slots = 0; ///< Maximum number of concurrent requests.
     bool draining = false;
     std::uint64_t sequence = 0;   ///< Increases with each heartbeat of one incarnation.
-    std::uint64_t started_ms = 0; ///< Wall-clock start time of the incarnation; orders incarnations.
+    std::uint64_t started_ms = 0; ///< Wall-clock start time of the incarnation; orders incarnations. Zero if
+                                  ///< unknown.
     core::duration warm_up_left{};
+    core::time_point received{}; ///< Time at which the daemon got it.
 };
 
-/// State of the local instance, derived from its heartbeats and its deregistration. Deterministic.
+/// Whether an earlier process of the daemon may have talked to the instance.
+enum class instance_history : std::uint8_t
+{
+    complete, ///< There was no earlier process, so this one knows all that was acknowledged to instances.
+    partial,  ///< An earlier process may have acknowledged that the instance leaves.
+};
+
+/// State of the local instance, derived from its heartbeats, its deregistration and its answers to health
+/// checks. Deterministic.
 ///
 /// Only this daemon sends requests to the instance, so it alone decides whether the instance gets new work.
+/// An acknowledged departure binds every later process of the daemon, but a process knows only what it was
+/// told itself, and a heartbeat may be late. So a heartbeat gives work to an incarnation only if that started
+/// after one that this process knew as not leaving; any other one is a claim, which the instance's own answer
+/// to a health check confirms.
 class instance_state
 {
 public:
+    struct options
+    {
+        std::string address; ///< "ip:port" of the instance on this VM; other heartbeats are ignored.
+        instance_history history = instance_history::complete;
+        core::time_point process_start{};
+    };
+
     /// @param local_address "ip:port" of the instance on this VM; heartbeats from other addresses are ignored
-    explicit instance_state(std::string local_address) : address(std::move(local_address)) {}
+    explicit instance_state(std::string local_address)
+        : instance_state(options{.address = std::move(local_address)})
+    {
+    }
+
+    explicit instance_state(options settings);
 
     /// Applies a heartbeat.
-    /// @returns whether the incarnation, service, number of slots or draining state changed
+    /// @returns whether the incarnation, service, number of slots or leaving state changed
     bool apply(const instance_heartbeat& heartbeat);
 
     /// Applies a deregistration: the instance gets no more new work.
-    /// @returns whether the id names the current instance
-    bool deregister(std::string_view id);
+    /// @returns whether the current instance leaves from now on; false if it was leaving already, or if the
+    /// id
+    ///          names another one
+    bool deregister(std::string_view id, core::time_point now = {});
+
+    /// Applies the instance's answer to a health check that was sent after the last announced departure: the
+    /// instance is healthy and not leaving.
+    /// @param answer what the answer tells of the instance; started_ms and sequence are zero, and slots too if
+    ///        the instance does not tell its load
+    /// @returns whether the incarnation, service, number of slots or leaving state changed
+    bool confirm(const instance_heartbeat& answer);
+
+    /// Returns whether a health check is needed to tell which instance runs, and whether it leaves.
+    bool needs_check() const noexcept { return !this->current || this->claim; }
+
+    /// Returns the last heartbeat that a health check must confirm; none if there is no such doubt.
+    const std::optional<instance_heartbeat>& unconfirmed() const noexcept { return this->claim; }
 
     /// Returns whether an instance is known and accepts new work.
     bool accepts_work() const noexcept { return this->current.has_value() && !this->leaving; }
@@ -48,10 +90,37 @@
 
     bool is_leaving() const noexcept { return this->leaving; }
 
+    /// Time after which no heartbeat is expected to arrive any more. A later one was sent after what it
+    /// contradicts, and is believed without a health check: health checks may fail for other reasons.
+    static constexpr core::duration max_heartbeat_delay = std::chrono::seconds{10};
+
 private:
-    std::string address;
+    /// How the incarnation of a heartbeat relates to the current one.
+    enum class relation : std::uint8_t
+    {
+        same,
+        earlier,
+        later,
+        unordered, ///< Other ids, and the order is unknown.
+    };
+
+    relation compare(const instance_heartbeat& heartbeat) const;
+    bool apply_same(const instance_heartbeat& heartbeat);
+    bool contest(const instance_heartbeat& heartbeat);
+    bool adopt(const instance_heartbeat& incarnation, bool is_leaving);
+    bool has_departed(std::string_view id) const;
+
+    options settings;
     std::optional<instance_heartbeat> current;
     bool leaving = false;
+    /// A heartbeat that may be late, or may come from another incarnation than the running one.
+    std::optional<instance_heartbeat> claim;
+    /// Whether this process has known an incarnation that was not leaving. Later ones then started during its
+    /// own lifetime.
+    bool knew_working_instance;
+    core::time_point doubt_since{}; ///< Time of the last event that a claim contradicts.
+    /// Ids of the last deregistrations, which do not tell the start time of the incarnation that leaves.
+    std::deque<std::string> departed;
 };
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -89,7 +89,8 @@
     void on_control(const std::shared_ptr<exchange>& request);
     void on_ready(const std::shared_ptr<exchange>& request);
     void on_metrics(const std::shared_ptr<exchange>& request);
-    void on_instance_found(const instance_heartbeat& heartbeat);
+    void on_heartbeat(instance_heartbeat heartbeat);
+    void on_instance_found(const instance_heartbeat& answer);
     void on_instance_changed();
     void refresh_own_status();
     void begin_stop();
--- a/packages/sidecar/src/instance_dispatcher.cpp
+++ b/packages/sidecar/src/instance_dispatcher.cpp
@@ -79,7 +79,7 @@
     {
         refusal = call_reason::other_service;
     }
-    else if (!this->instance.accepts_work() && now - this->leaving_since > this->settings.drain_limit)
+    else if (!this->instance.accepts_work() && !this->is_in_drain_time(now))
     {
         refusal = call_reason::instance_leaving;
     }
@@ -111,6 +111,12 @@
     return id;
 }
 
+/// Returns whether the instance began to leave so recently that it still gets calls.
+bool instance_dispatcher::is_in_drain_time(core::time_point now) const
+{
+    return this->leaving_since && now - *this->leaving_since <= this->settings.drain_limit;
+}
+
 /// Returns whether a call is expected to get a slot before its latest start. Nested calls are always queued:
 /// the estimate may be wrong, and refusing one also wastes the run that made it.
 bool instance_dispatcher::can_start_in_time(const waiting_call& call, core::time_point now) const
@@ -172,8 +178,7 @@
     {
         this->refuse(expired->key, call_reason::deadline);
     }
-    if (this->instance.is_leaving() && !this->queue.empty() &&
-        now - this->leaving_since > this->settings.drain_limit)
+    if (this->instance.is_leaving() && !this->queue.empty() && !this->is_in_drain_time(now))
     {
         this->refuse_all_queued(call_reason::instance_leaving);
     }
@@ -260,10 +265,16 @@
 
 void instance_dispatcher::on_instance_changed()
 {
-    const core::time_point now = core::boot_clock::now();
-    if (this->instance.is_leaving())
+    if (this->instance.accepts_work())
+    {
+        this->leaving_since.reset();
+        this->gave_work = true;
+    }
+    else if (std::exchange(this->gave_work, false))
     {
-        this->leaving_since = now;
+        // Calls that were sent before the senders learned of the departure still run. If this process never
+        // gave the instance work, the departure may have been acknowledged long ago.
+        this->leaving_since = core::boot_clock::now();
     }
     this->connect_blocked_until = {};
     for (const auto& connection : std::exchange(this->idle_connections, {}))
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -46,13 +46,16 @@
       signals(this->io),
       timer(this->io),
       memory(this->settings.body_memory),
-      instance(to_string(this->settings.upstream)),
+      instance(
+          {.address = to_string(this->settings.upstream),
+           .history = this->settings.first_start ? instance_history::complete : instance_history::partial,
+           .process_start = core::boot_clock::now()}),
       probe(this->io,
             {.address = make_endpoint(this->settings.upstream.address, this->settings.upstream.port),
              .address_text = to_string(this->settings.upstream),
              .service = this->settings.service,
              .names = this->platform.headers},
-            [this](const instance_heartbeat& heartbeat) { this->on_instance_found(heartbeat); }),
+            [this](const instance_heartbeat& answer) { this->on_instance_found(answer); }),
       fleet(make_own_record(this->settings)),
       dispatcher(
           this->io,
@@ -190,9 +193,10 @@
 {
     const core::time_point now = core::boot_clock::now();
     this->log_loop_delay(now);
-    if (!this->instance.instance() && this->router.routes() != nullptr)
+    if (this->router.routes() != nullptr)
     {
-        this->probe.run_if_due(this->router.routes()->health_path(this->settings.service), now);
+        this->probe.tick(this->instance.needs_check(),
+                         this->router.routes()->health_path(this->settings.service), now);
     }
     this->dispatcher.tick(now);
     this->peers.tick(now);
@@ -351,28 +355,55 @@
         request->respond({.status = http_status::bad_request});
         return;
     }
-    bool changed = false;
     if (const auto* heartbeat = std::get_if<instance_heartbeat>(&message))
     {
-        changed = this->instance.apply(*heartbeat);
+        this->on_heartbeat(*heartbeat);
     }
     else
     {
-        changed = this->instance.deregister(std::get<instance_deregistration>(message).id);
-    }
-    if (changed)
-    {
-        this->on_instance_changed();
+        this->probe.cancel();
+        if (this->instance.deregister(std::get<instance_deregistration>(message).id, core::boot_clock::now()))
+        {
+            this->on_instance_changed();
+        }
     }
     request->respond({.status = http_status::ok,
                       .fields = this->platform.acknowledgement_fields,
                       .body = this->platform.acknowledgement});
 }
 
-/// Applies the instance's answer to a health check while no heartbeat has arrived.
-void sidecar_daemon::on_instance_found(const instance_heartbeat& heartbeat)
+void sidecar_daemon::on_heartbeat(instance_heartbeat heartbeat)
+{
+    heartbeat.received = core::boot_clock::now();
+    if (heartbeat.draining)
+    {
+        this->probe.cancel();
+    }
+    const bool was_confirmed = !this->instance.unconfirmed();
+    if (this->instance.apply(heartbeat))
+    {
+        this->on_instance_changed();
+    }
+    if (const auto& unconfirmed = this->instance.unconfirmed())
+    {
+        this->probe.rearm();
+        if (was_confirmed)
+        {
+            const auto& known = this->instance.instance();
+            this->events.state_event("instance_unconfirmed",
+                                     {{"instance", unconfirmed->id},
+                                      {"started_ms", std::to_string(unconfirmed->started_ms)},
+                                      {"sequence", std::to_string(unconfirmed->sequence)},
+                                      {"known", known ? known->id : ""},
+                                      {"leaving", this->instance.is_leaving() ? "yes" : "no"}});
+        }
+    }
+}
+
+/// Applies the instance's answer to a health check.
+void sidecar_daemon::on_instance_found(const instance_heartbeat& answer)
 {
-    if (!this->instance.instance() && this->instance.apply(heartbeat))
+    if (this->instance.confirm(answer))
     {
         this->on_instance_changed();
     }
@@ -381,10 +412,12 @@
 void sidecar_daemon::on_instance_changed()
 {
     const auto& known = this->instance.instance();
-    this->events.state_event("instance_changed", {{"instance", known ? known->id : ""},
-                                                  {"service", known ? known->service : ""},
-                                                  {"slots", std::to_string(known ? known->slots : 0)},
-                                                  {"leaving", this->instance.is_leaving() ? "yes" : "no"}});
+    this->events.state_event("instance_changed",
+                             {{"instance", known ? known->id : ""},
+                              {"started_ms", std::to_string(known ? known->started_ms : 0)},
+                              {"service", known ? known->service : ""},
+                              {"slots", std::to_string(known ? known->slots : 0)},
+                              {"leaving", this->instance.is_leaving() ? "yes" : "no"}});
     this->dispatcher.on_instance_changed();
     this->refresh_own_status();
 }
--- a/packages/sidecar/tests/instance_dispatcher_test.cpp
+++ b/packages/sidecar/tests/instance_dispatcher_test.cpp
@@ -23,6 +23,9 @@
     CPPUNIT_TEST(earlier_refusal_that_arrives_between_two_calls_is_not_taken_for_the_second);
     CPPUNIT_TEST(bytes_without_end_give_the_slot_back_at_the_deadline);
     CPPUNIT_TEST(closed_connections_are_not_kept);
+    CPPUNIT_TEST(cancellation_tells_what_becomes_of_the_call);
+    CPPUNIT_TEST(deregistration_after_draining_allows_no_further_calls);
+    CPPUNIT_TEST(instance_that_was_never_given_work_gets_none_when_it_leaves);
     CPPUNIT_TEST(large_responses_wait_while_memory_is_short_the_least_urgent_longest);
     CPPUNIT_TEST_SUITE_END();
 
@@ -105,6 +108,78 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->dispatcher.idle_connection_count());
     }
 
+    /// A wrong statement here makes a call that has run look as if it never started.
+    void cancellation_tells_what_becomes_of_the_call()
+    {
+        int replies = 0;
+        const auto count_reply = [&](const reply_message&) { ++replies; };
+        const auto running = this->dispatcher.submit(make_call("a-1", 60s), count_reply);
+        const auto queued = this->dispatcher.submit(make_call("a-2", 60s), count_reply);
+        while (this->server.requests.empty())
+        {
+            this->io.run_one_for(10ms);
+        }
+        CPPUNIT_ASSERT(this->dispatcher.cancel(queued) == cancel_result::never_starts);
+        CPPUNIT_ASSERT(this->dispatcher.cancel(running) == cancel_result::continues);
+        this->server.connections.front()->send(answer("a-1"));
+        while (this->dispatcher.status().running > 0)
+        {
+            this->io.run_one_for(10ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, replies);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->dispatcher.open_calls());
+        CPPUNIT_ASSERT(this->dispatcher.cancel(running) == cancel_result::continues);
+        this->io.poll();
+        CPPUNIT_ASSERT_EQUAL(1, replies);
+        CPPUNIT_ASSERT(this->dispatcher.cancel(running) == cancel_result::unknown);
+        call_message repeatable = make_call("a-3", 60s);
+        repeatable.idempotent = true;
+        const auto aborted = this->dispatcher.submit(std::move(repeatable), count_reply);
+        while (this->server.requests.size() < 2)
+        {
+            this->io.run_one_for(10ms);
+        }
+        CPPUNIT_ASSERT(this->dispatcher.cancel(aborted) == cancel_result::aborted);
+        this->io.poll();
+        CPPUNIT_ASSERT_EQUAL(1, replies);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->dispatcher.open_calls());
+    }
+
+    void deregistration_after_draining_allows_no_further_calls()
+    {
+        this->server.on_request = [](scripted_instance::connection& peer, std::size_t)
+        { peer.send(answer("a-1")); };
+        this->dispatcher.set_drain_limit(50ms);
+        this->dispatcher.on_instance_changed();
+        this->state.apply(
+            {.id = "i", .address = "a", .service = "s", .slots = 1, .draining = true, .sequence = 2});
+        this->dispatcher.on_instance_changed();
+        CPPUNIT_ASSERT(this->outcome_of("a-1") == reply_kind::response);
+        this->io.run_for(60ms);
+        this->state.deregister("i");
+        this->dispatcher.on_instance_changed();
+        CPPUNIT_ASSERT(this->outcome_of("a-1") == reply_kind::not_started);
+    }
+
+    /// An earlier process of the daemon may have acknowledged the departure long ago.
+    void instance_that_was_never_given_work_gets_none_when_it_leaves()
+    {
+        instance_state restarted{{.address = "a", .history = instance_history::partial}};
+        instance_dispatcher other{this->io,
+                                  {.instance_address = this->server.address(), .names = test_names()},
+                                  restarted,
+                                  this->log,
+                                  this->metrics};
+        restarted.apply(
+            {.id = "i", .address = "a", .service = "s", .slots = 1, .draining = true, .sequence = 2});
+        other.on_instance_changed();
+        std::optional<reply_message> found;
+        other.submit(make_call("a-1", 60s), [&](reply_message reply) { found = std::move(reply); });
+        this->io.run_for(50ms);
+        CPPUNIT_ASSERT(found && static_cast<reply_kind>(found->kind) == reply_kind::not_started);
+        CPPUNIT_ASSERT(this->server.requests.empty());
+    }
+
     void large_responses_wait_while_memory_is_short_the_least_urgent_longest()
     {
         constexpr std::size_t body_bytes = 8 * 1024 * 1024;
--- a/packages/sidecar/tests/scripted_instance.hpp
+++ b/packages/sidecar/tests/scripted_instance.hpp
@@ -54,6 +54,21 @@
 
         void close() { this->socket.close(); }
 
+        /// Sends bytes, and closes the connection when they are sent.
+        /// @param with_reset whether to reset the connection instead
+        void send_and_close(std::string bytes, bool with_reset = false)
+        {
+            const auto held = std::make_shared<std::string>(std::move(bytes));
+            asio::async_write(
+                this->socket, asio::buffer(*held),
+                [self = this->shared_from_this(), held, with_reset](const error_code&, std::size_t count)
+                {
+                    self->owner.bytes_sent += count;
+                    self->socket.set_option(asio::socket_base::linger{with_reset, 0});
+                    self->socket.close();
+                });
+        }
+
         tcp::socket::executor_type executor() { return this->socket.get_executor(); }
 
         bool closed_by_peer = false;
