Bind draining heartbeats of unknown order, and confirm an instance that tells no load at once

Change: such a departure is recorded by id, like a deregistration. An answer to a health check without a load confirms the next heartbeat of that instance, which before needed another check. A heartbeat counts as received at the last tick, since a suspended process may read it long after it arrived.

--- a/packages/sidecar/include/laburnumreach/sidecar/instance_probe.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_probe.hpp
@@ -29,7 +29,12 @@
     instance_probe(asio::io_context& context, options initial_settings, found_handler handler);
 
     /// Allows further health checks, for an instance that has just shown that it runs.
-    void rearm() { this->attempts = 0; }
+    /// @param at_once whether the next one is due now
+    void rearm(bool at_once = false)
+    {
+        this->attempts = 0;
+        this->last_attempt = at_once && this->connection == nullptr ? core::time_point{} : this->last_attempt;
+    }
 
     /// Discards the answer to a check in progress, which the instance may have given before what it has told
     /// since.
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_state.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_state.hpp
@@ -23,7 +23,7 @@
     std::uint64_t started_ms = 0; ///< Wall-clock start time of the incarnation; orders incarnations. Zero if
                                   ///< unknown.
     core::duration warm_up_left{};
-    core::time_point received{}; ///< Time at which the daemon got it.
+    core::time_point received{}; ///< Earliest time at which the daemon may have got it.
 };
 
 /// Whether an earlier process of the daemon may have talked to the instance.
@@ -71,7 +71,8 @@
 
     /// Applies the instance's answer to a health check that was sent after the last announced departure: the
     /// instance is healthy and not leaving.
-    /// @param answer what the answer tells of the instance; started_ms and sequence are zero, and slots too if
+    /// @param answer what the answer tells of the instance; started_ms and sequence are zero, and slots too
+    /// if
     ///        the instance does not tell its load
     /// @returns whether the incarnation, service, number of slots or leaving state changed
     bool confirm(const instance_heartbeat& answer);
@@ -109,17 +110,22 @@
     bool contest(const instance_heartbeat& heartbeat);
     bool adopt(const instance_heartbeat& incarnation, bool is_leaving);
     bool has_departed(std::string_view id) const;
+    void record_departure(std::string_view id);
 
     options settings;
     std::optional<instance_heartbeat> current;
     bool leaving = false;
     /// A heartbeat that may be late, or may come from another incarnation than the running one.
     std::optional<instance_heartbeat> claim;
+    /// Id of an instance that answered a health check after the last announced departure, but sent no
+    /// heartbeat yet; empty for none.
+    std::string confirmed_id;
     /// Whether this process has known an incarnation that was not leaving. Later ones then started during its
     /// own lifetime.
     bool knew_working_instance;
     core::time_point doubt_since{}; ///< Time of the last event that a claim contradicts.
-    /// Ids of the last deregistrations, which do not tell the start time of the incarnation that leaves.
+    /// Ids of the last deregistrations, which do not tell the start time of the incarnation that leaves, and
+    /// of draining heartbeats whose order is unknown.
     std::deque<std::string> departed;
 };
 
--- a/packages/sidecar/src/instance_state.cpp
+++ b/packages/sidecar/src/instance_state.cpp
@@ -46,6 +46,10 @@
     case relation::unordered:
         break;
     }
+    if (heartbeat.draining)
+    {
+        this->record_departure(heartbeat.id);
+    }
     return this->contest(heartbeat);
 }
 
@@ -89,8 +93,8 @@
 }
 
 /// Keeps a heartbeat as a claim until a health check confirms it.
-/// @returns whether it is believed without one, as it arrived too late to have been sent before what it
-///          contradicts
+/// @returns whether it is believed without a further one: the instance has answered one already, or the
+///          heartbeat arrived too late to have been sent before what it contradicts
 bool instance_state::contest(const instance_heartbeat& heartbeat)
 {
     if (this->claim)
@@ -102,7 +106,7 @@
             return false;
         }
     }
-    if (heartbeat.received - this->doubt_since >= max_heartbeat_delay)
+    if (heartbeat.id == this->confirmed_id || heartbeat.received - this->doubt_since >= max_heartbeat_delay)
     {
         return this->adopt(heartbeat, heartbeat.draining);
     }
@@ -118,6 +122,7 @@
     this->knew_working_instance = this->knew_working_instance || !is_leaving;
     this->doubt_since = std::max(this->doubt_since, incarnation.received);
     this->claim.reset();
+    this->confirmed_id.clear();
     std::erase(this->departed, incarnation.id);
     return true;
 }
@@ -127,6 +132,20 @@
     return std::find(this->departed.begin(), this->departed.end(), id) != this->departed.end();
 }
 
+void instance_state::record_departure(std::string_view id)
+{
+    constexpr std::size_t max_departed = 8; // Several incarnations in a row, or requests of other programs.
+    this->confirmed_id.clear();
+    if (!this->has_departed(id))
+    {
+        this->departed.emplace_back(id);
+    }
+    if (this->departed.size() > max_departed)
+    {
+        this->departed.pop_front();
+    }
+}
+
 bool instance_state::deregister(std::string_view id, core::time_point now)
 {
     this->doubt_since = std::max(this->doubt_since, now);
@@ -144,15 +163,7 @@
         this->claim.reset();
     }
     // It may be an incarnation whose first heartbeat has not arrived yet.
-    constexpr std::size_t max_departed = 8; // Several incarnations in a row, or requests of other programs.
-    if (!this->has_departed(id))
-    {
-        this->departed.emplace_back(id);
-    }
-    if (this->departed.size() > max_departed)
-    {
-        this->departed.pop_front();
-    }
+    this->record_departure(id);
     return changed;
 }
 
@@ -171,7 +182,9 @@
     }
     if (this->has_departed(answer.id) || answer.slots == 0)
     {
-        return false; // Its next heartbeat tells the start time and the number of slots.
+        // Its next heartbeat tells the start time and the number of slots.
+        this->confirmed_id = answer.id;
+        return false;
     }
     return this->adopt(answer, false);
 }
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -374,7 +374,7 @@
 
 void sidecar_daemon::on_heartbeat(instance_heartbeat heartbeat)
 {
-    heartbeat.received = core::boot_clock::now();
+    heartbeat.received = this->last_tick; // It may have waited since then, if the process was suspended.
     if (heartbeat.draining)
     {
         this->probe.cancel();
@@ -386,7 +386,7 @@
     }
     if (const auto& unconfirmed = this->instance.unconfirmed())
     {
-        this->probe.rearm();
+        this->probe.rearm(was_confirmed);
         if (was_confirmed)
         {
             const auto& known = this->instance.instance();
