--- a/packages/sidecar/include/laburnumreach/sidecar/instance_state.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_state.hpp
@@ -65,15 +65,13 @@
 
     /// Applies a deregistration: the instance gets no more new work.
     /// @returns whether the current instance leaves from now on; false if it was leaving already, or if the
-    /// id
-    ///          names another one
+    ///          id names another one
     bool deregister(std::string_view id, core::time_point now = {});
 
     /// Applies the instance's answer to a health check that was sent after the last announced departure: the
     /// instance is healthy and not leaving.
-    /// @param answer what the answer tells of the instance; started_ms and sequence are zero, and slots too
-    /// if
-    ///        the instance does not tell its load
+    /// @param answer what the answer tells; started_ms and sequence are zero, and so are the slots if the
+    ///        instance does not tell its load
     /// @returns whether the incarnation, service, number of slots or leaving state changed
     bool confirm(const instance_heartbeat& answer);
 
