Log from whom and how late a configuration was learned, and which store call was open

Metrics: the version in force, the age of the store's last answer, calls and failures by kind. No logic changes.

--- a/packages/core/include/laburnumreach/core/time.hpp
+++ b/packages/core/include/laburnumreach/core/time.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <string>
 
 namespace laburnumreach::core
 {
@@ -16,6 +17,12 @@
     return std::chrono::duration<double>(value).count();
 }
 
+/// Returns a duration as a number of whole milliseconds, for the log.
+inline std::string milliseconds_text(duration value)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
 /// Monotonic clock that also advances while the VM is suspended, so that leases expire during a pause.
 struct boot_clock
 {
--- a/packages/sidecar/include/laburnumreach/sidecar/config_fetch_policy.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/config_fetch_policy.hpp
@@ -27,6 +27,9 @@
     /// Records that a configuration was applied, so that the next request need not wait for the last one.
     void on_config_received() { this->last_request.reset(); }
 
+    /// Returns when a version newer than the local one was first reported.
+    core::time_point first_reported() const noexcept { return this->newer_since; }
+
 private:
     /// Time after which another peer may be asked; several round trips within a region.
     static constexpr core::duration request_timeout = std::chrono::milliseconds{300};
--- a/packages/sidecar/include/laburnumreach/sidecar/fleet_state.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/fleet_state.hpp
@@ -2,6 +2,7 @@
 #define LABURNUMREACH_SIDECAR_FLEET_STATE_HPP
 
 #include "laburnumreach/sidecar/config_fetch_policy.hpp"
+#include "laburnumreach/sidecar/config_origin.hpp"
 #include "laburnumreach/sidecar/frame_stream.hpp"
 #include "laburnumreach/sidecar/member_table.hpp"
 
@@ -42,7 +43,8 @@
 
     /// Applies a configuration if it is newer than the current one and can be decoded.
     /// @returns whether it was applied
-    bool offer_config(std::uint64_t offered_version, const std::string& text);
+    bool offer_config(std::uint64_t offered_version, const std::string& text,
+                      const config_origin& origin = {});
 
     /// Compares the local state with the version and digest of a peer. Requests a newer configuration from
     /// the peer, and sends it the member table if a difference persists.
@@ -54,13 +56,15 @@
     void set_cross_zone_repair(bool value) { this->cross_zone_repair = value; }
 
     /// Handles a frame that requests or carries a configuration or members.
+    /// @param sender id of the daemon that sent it
     /// @returns whether the frame was of one of these types
-    bool handle(frame_stream& stream, frame_type type, std::span<const std::uint8_t> body);
+    bool handle(frame_stream& stream, const std::string& sender, frame_type type,
+                std::span<const std::uint8_t> body);
 
     std::function<void()> members_changed;
     /// Decodes and applies a document.
     /// @returns false when it cannot be decoded
-    std::function<bool(const std::string& document)> config_received;
+    std::function<bool(const std::string& document, const config_origin& origin)> config_received;
 
 private:
     /// Time for which the member tables must differ before the table is sent. The hello messages of a daemon
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -60,6 +60,9 @@
     /// Passes whether the platform's store works to the traffic thread. Thread safe.
     void post_store_works(bool works);
 
+    /// Passes the result of a store call to the traffic thread, for the metrics. Thread safe.
+    void post_store_call(const store_call_report& report);
+
     /// Called about twice a second with this daemon's role in watching the store. Set it before run().
     std::function<void(store_watch_role)> store_watch_role_changed = [](store_watch_role) {};
 
@@ -85,7 +88,7 @@
     void sync_links();
     void forget_departed_daemons(core::time_point now);
     void update_daemon_count();
-    bool apply_config(const std::string& document);
+    bool apply_config(const std::string& document, const config_origin& origin);
     void on_control(const std::shared_ptr<exchange>& request);
     void on_ready(const std::shared_ptr<exchange>& request);
     void on_metrics(const std::shared_ptr<exchange>& request);
@@ -123,6 +126,7 @@
     std::optional<http_listener> metrics;
     std::optional<tcp_listener> peer_listener;
     bool store_works = false;
+    std::optional<core::time_point> last_store_answer; ///< When the last store call succeeded.
     /// By daemon id: whether the store works there, according to the last probe.
     std::unordered_map<std::string, bool> store_works_at_peer;
     bool member_list_received = false; ///< The list of members was read from the store.
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_metrics.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_metrics.hpp
@@ -49,6 +49,10 @@
         this->counters[{std::string{name}, std::string{label}}] += amount;
     }
 
+    /// Sets a gauge.
+    /// @param name metric name without prefix
+    void set(std::string_view name, double value) { this->gauges[std::string{name}] = value; }
+
     latency_histogram request_latency; ///< From a complete request to its response, at the caller's daemon.
     latency_histogram run_latency;     ///< Run time on a slot of the instance.
     latency_histogram queue_wait;      ///< Time in the queue for a slot.
@@ -58,6 +62,7 @@
 
 private:
     std::map<std::pair<std::string, std::string>, std::uint64_t> counters;
+    std::map<std::string, double> gauges;
 };
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/include/laburnumreach/sidecar/store_watcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/store_watcher.hpp
@@ -4,6 +4,7 @@
 #include "laburnumreach/core/error.hpp"
 #include "laburnumreach/core/time.hpp"
 #include "laburnumreach/sidecar/change_tracker.hpp"
+#include "laburnumreach/sidecar/config_origin.hpp"
 #include "laburnumreach/sidecar/event_log.hpp"
 #include "laburnumreach/sidecar/peer_messages.hpp"
 #include "laburnumreach/sidecar/store_watch_role.hpp"
@@ -26,6 +27,16 @@
     std::uint64_t version = 0;
     std::string document;
     std::uint64_t revision = 0; ///< Store revision after which to watch for changes.
+    config_origin origin;       ///< Set by the store_watcher.
+};
+
+/// Result of one call to the store.
+struct store_call_report
+{
+    std::string_view call; ///< Kind of call; refers to a literal.
+    bool failed = false;
+    core::duration took{};
+    core::time_point ended{};
 };
 
 /// The data about daemons in the store.
@@ -71,6 +82,8 @@
     std::function<void(std::vector<call_ratio>)> ratios;
     /// Called when the store becomes available or unavailable.
     std::function<void(bool works)> store_works;
+    /// Called after each call.
+    std::function<void(const store_call_report&)> store_call = [](const store_call_report&) {};
 };
 
 /// Registers this daemon in the store and watches the configuration and the members there. Runs on the
@@ -157,27 +170,25 @@
     /// @returns false if the call failed
     bool step()
     {
+        const core::time_point now = core::boot_clock::now();
         if (!this->revision)
         {
-            return this->record_outcome(this->read_config());
+            return this->record_outcome("read", now, this->read_config());
         }
         if (!this->announced)
         {
-            const auto written = this->store.announce(this->own);
-            this->announced = written.has_value();
-            return this->record_outcome(written.has_value() ? std::string{} : written.error().message);
+            return this->record_outcome("announce", now, this->announce());
         }
-        const core::time_point now = core::boot_clock::now();
         if (!this->last_listing || now - *this->last_listing > list_interval)
         {
-            return this->record_outcome(this->list_members(now));
+            return this->record_outcome("list", now, this->list_members(now));
         }
         if (this->is_primary() && now - this->last_publish > publish_interval && this->ratios_changed())
         {
             this->last_publish = now;
-            return this->record_outcome(this->publish());
+            return this->record_outcome("publish", now, this->publish());
         }
-        return this->record_outcome(this->await_change());
+        return this->record_outcome("watch", now, this->await_change());
     }
 
 private:
@@ -209,10 +220,25 @@
             return config.error().message;
         }
         this->revision = config->revision;
-        this->callbacks.config(std::move(*config));
+        this->pass_on(std::move(*config), config_source::store_read);
         return {};
     }
 
+    void pass_on(stored_config config, config_source source)
+    {
+        const core::time_point now = core::boot_clock::now();
+        config.origin = {.source = source, .max_age = now - this->last_answer.value_or(now)};
+        this->callbacks.config(std::move(config));
+    }
+
+    /// @returns the cause of a failure; empty on success
+    std::string announce()
+    {
+        const auto written = this->store.announce(this->own);
+        this->announced = written.has_value();
+        return written ? std::string{} : written.error().message;
+    }
+
     bool is_primary() const { return this->role == store_watch_role::primary; }
 
     void wait_for_role()
@@ -285,21 +311,35 @@
             this->revision = (*change)->revision;
             if (!(*change)->document.empty())
             {
-                this->callbacks.config(std::move(**change));
+                this->pass_on(std::move(**change), config_source::store_watch);
             }
         }
         return {};
     }
 
-    /// Counts failures, and reports when the store becomes available or unavailable.
+    /// Counts failures, and reports the call and whether the store became available or unavailable.
+    /// @param call kind of the call
+    /// @param failure cause of its failure; empty on success
     /// @returns whether the call succeeded
-    bool record_outcome(const std::string& failure)
+    bool record_outcome(std::string_view call, core::time_point began, const std::string& failure)
     {
+        const core::time_point now = core::boot_clock::now();
         const bool works = failure.empty();
         this->failures = works ? 0 : this->failures + 1;
+        this->callbacks.store_call({.call = call, .failed = !works, .took = now - began, .ended = now});
         if (works != this->reachable.value_or(true))
         {
-            this->events.state_event(works ? "store_regained" : "store_lost", {{"cause", failure}});
+            this->events.state_event(
+                works ? "store_regained" : "store_lost",
+                {{"call", std::string{call}},
+                 {"took_ms", core::milliseconds_text(now - began)},
+                 {"last_answer_ms_ago",
+                  this->last_answer ? core::milliseconds_text(now - *this->last_answer) : ""},
+                 {"cause", failure}});
+        }
+        if (works)
+        {
+            this->last_answer = now;
         }
         if (works != this->reachable)
         {
@@ -331,7 +371,8 @@
     std::atomic<store_watch_role> role{store_watch_role::none};
     int failures = 0; ///< Consecutive.
     bool announced = false;
-    std::optional<bool> reachable; ///< No value before the first call.
+    std::optional<bool> reachable;               ///< No value before the first call.
+    std::optional<core::time_point> last_answer; ///< End of the last call that succeeded.
 };
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/src/fleet_state.cpp
+++ b/packages/sidecar/src/fleet_state.cpp
@@ -21,9 +21,10 @@
     }
 }
 
-bool fleet_state::offer_config(std::uint64_t offered_version, const std::string& text)
+bool fleet_state::offer_config(std::uint64_t offered_version, const std::string& text,
+                               const config_origin& origin)
 {
-    if (offered_version <= this->version || !this->config_received || !this->config_received(text))
+    if (offered_version <= this->version || !this->config_received || !this->config_received(text, origin))
     {
         return false;
     }
@@ -57,7 +58,8 @@
     }
 }
 
-bool fleet_state::handle(frame_stream& stream, frame_type type, std::span<const std::uint8_t> body)
+bool fleet_state::handle(frame_stream& stream, const std::string& sender, frame_type type,
+                         std::span<const std::uint8_t> body)
 {
     if (type == frame_type::config_request)
     {
@@ -73,7 +75,10 @@
     {
         if (const auto message = decode_frame<config_message>(body))
         {
-            this->offer_config(message->version, message->document);
+            this->offer_config(message->version, message->document,
+                               {.source = config_source::peer,
+                                .peer = sender,
+                                .max_age = core::boot_clock::now() - this->fetch_policy.first_reported()});
         }
         return true;
     }
--- a/packages/sidecar/src/peer_link.cpp
+++ b/packages/sidecar/src/peer_link.cpp
@@ -117,7 +117,7 @@
 
 void peer_link::on_frame(frame_type type, std::span<const std::uint8_t> body)
 {
-    if (this->fleet.handle(*this->stream, type, body))
+    if (this->fleet.handle(*this->stream, this->peer.daemon_id, type, body))
     {
         return;
     }
--- a/packages/sidecar/src/peer_server.cpp
+++ b/packages/sidecar/src/peer_server.cpp
@@ -57,7 +57,7 @@
         stream->close(); // No hello, or replaced by a newer connection.
         return;
     }
-    if (this->fleet.handle(*stream, type, body))
+    if (this->fleet.handle(*stream, daemon_id, type, body))
     {
         return;
     }
--- a/packages/sidecar/src/request_router_outcome.cpp
+++ b/packages/sidecar/src/request_router_outcome.cpp
@@ -105,6 +105,7 @@
         {{"request", attempt_id},
          {"status", std::to_string(status)},
          {"reason", std::string{reason}},
+         {"host", std::string{http::find_header(request.head.headers, "Host")}},
          {"target", request.head.target},
          {"config", std::to_string(this->config == nullptr ? 0 : this->config->version())}});
     request.respond({.status = status,
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -84,8 +84,8 @@
       link_callbacks(this->make_link_callbacks())
 {
     this->fleet.members_changed = [this] { this->sync_links(); };
-    this->fleet.config_received = [this](const std::string& document)
-    { return this->apply_config(document); };
+    this->fleet.config_received = [this](const std::string& document, const config_origin& origin)
+    { return this->apply_config(document, origin); };
 }
 
 std::shared_ptr<peer_link_callbacks> sidecar_daemon::make_link_callbacks()
@@ -249,8 +249,7 @@
     const core::duration delay = now - this->last_tick;
     if (this->last_tick != core::time_point{} && delay > min_logged_delay)
     {
-        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(delay).count();
-        this->events.request_event("loop_delayed", {{"ms", std::to_string(ms)}});
+        this->events.request_event("loop_delayed", {{"ms", core::milliseconds_text(delay)}});
     }
     this->last_tick = now;
 }
@@ -310,16 +309,24 @@
     }
 }
 
-bool sidecar_daemon::apply_config(const std::string& document)
+bool sidecar_daemon::apply_config(const std::string& document, const config_origin& origin)
 {
+    const std::string source{to_string(origin.source)};
     const auto decoded = this->platform.decode_config(document);
     if (!decoded)
     {
-        this->events.state_event("config_refused", {{"cause", decoded.error().message}});
+        this->events.state_event(
+            "config_refused",
+            {{"source", source}, {"peer", origin.peer}, {"cause", decoded.error().message}});
         return false;
     }
     this->router.configure(*decoded);
-    this->events.state_event("config_applied", {{"version", std::to_string((*decoded)->version())}});
+    this->counters.count("configs_applied_total", source);
+    this->counters.set("config_version", static_cast<double>((*decoded)->version()));
+    this->events.state_event("config_applied", {{"version", std::to_string((*decoded)->version())},
+                                                {"source", source},
+                                                {"peer", origin.peer},
+                                                {"max_age_ms", core::milliseconds_text(origin.max_age)}});
     for (const std::string& warning : (*decoded)->warnings())
     {
         this->events.state_event("config_warning", {{"detail", warning}});
@@ -331,7 +338,24 @@
 void sidecar_daemon::post_config(stored_config loaded)
 {
     asio::post(this->io, [this, loaded = std::move(loaded)]
-               { this->fleet.offer_config(loaded.version, loaded.document); });
+               { this->fleet.offer_config(loaded.version, loaded.document, loaded.origin); });
+}
+
+void sidecar_daemon::post_store_call(const store_call_report& report)
+{
+    asio::post(this->io,
+               [this, report]
+               {
+                   this->counters.count("store_calls_total", report.call);
+                   if (report.failed)
+                   {
+                       this->counters.count("store_call_failures_total", report.call);
+                   }
+                   else
+                   {
+                       this->last_store_answer = report.ended;
+                   }
+               });
 }
 
 void sidecar_daemon::post_ratios(std::vector<call_ratio> loaded)
@@ -430,6 +454,11 @@
 
 void sidecar_daemon::on_metrics(const std::shared_ptr<exchange>& request)
 {
+    if (this->last_store_answer)
+    {
+        const std::chrono::duration<double> age = core::boot_clock::now() - *this->last_store_answer;
+        this->counters.set("store_answer_age_seconds", age.count());
+    }
     request->respond({.status = http_status::ok,
                       .fields = "Content-Type: text/plain; version=0.0.4\r\n",
                       .body = this->counters.text()});
--- a/packages/sidecar/src/sidecar_metrics.cpp
+++ b/packages/sidecar/src/sidecar_metrics.cpp
@@ -54,6 +54,15 @@
         metric.counter.value = static_cast<double>(value);
         families.back().metric.push_back(metric);
     }
+    for (const auto& [name, value] : this->gauges)
+    {
+        prometheus::ClientMetric metric;
+        metric.gauge.value = value;
+        families.push_back({.name = prefix + name,
+                            .help = {},
+                            .type = prometheus::MetricType::Gauge,
+                            .metric = {std::move(metric)}});
+    }
     families.push_back(histogram_family("request_seconds", this->request_latency));
     families.push_back(histogram_family("run_seconds", this->run_latency));
     families.push_back(histogram_family("queue_wait_seconds", this->queue_wait));
--- a/packages/sidecar/tests/fleet_state_test.cpp
+++ b/packages/sidecar/tests/fleet_state_test.cpp
@@ -97,6 +97,7 @@
 {
     CPPUNIT_TEST_SUITE(fleet_state_test);
     CPPUNIT_TEST(older_configuration_is_rejected);
+    CPPUNIT_TEST(origin_of_a_configuration_is_told);
     CPPUNIT_TEST(undecodable_configuration_is_discarded);
     CPPUNIT_TEST(record_of_the_latest_incarnation_wins);
     CPPUNIT_TEST(records_that_name_no_daemon_are_ignored);
@@ -107,7 +108,7 @@
     {
         fleet_state fleet{{.daemon_id = "a"}};
         int applied = 0;
-        fleet.config_received = [&](const std::string&) { return ++applied > 0; };
+        fleet.config_received = [&](const std::string&, const config_origin&) { return ++applied > 0; };
         CPPUNIT_ASSERT(fleet.offer_config(5, "five"));
         CPPUNIT_ASSERT(!fleet.offer_config(4, "four"));
         CPPUNIT_ASSERT(!fleet.offer_config(5, "five"));
@@ -115,10 +116,28 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, fleet.config_version());
     }
 
+    void origin_of_a_configuration_is_told()
+    {
+        fleet_state fleet{{.daemon_id = "a"}};
+        config_origin told;
+        fleet.config_received = [&](const std::string&, const config_origin& origin)
+        {
+            told = origin;
+            return true;
+        };
+        asio::io_context io;
+        frame_stream stream{tcp::socket{io}};
+        const std::vector<std::uint8_t> message =
+            protocol::encode_message(config_message{.version = 5, .document = "five"});
+        CPPUNIT_ASSERT(fleet.handle(stream, "b", frame_type::config, message));
+        CPPUNIT_ASSERT(told.source == config_source::peer);
+        CPPUNIT_ASSERT_EQUAL(std::string{"b"}, told.peer);
+    }
+
     void undecodable_configuration_is_discarded()
     {
         fleet_state fleet{{.daemon_id = "a"}};
-        fleet.config_received = [](const std::string&) { return false; };
+        fleet.config_received = [](const std::string&, const config_origin&) { return false; };
         CPPUNIT_ASSERT(!fleet.offer_config(5, "five"));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.config_version());
     }
--- a/packages/sidecar/tests/peer_server_test.cpp
+++ b/packages/sidecar/tests/peer_server_test.cpp
@@ -138,7 +138,7 @@
     /// Guards against all 89 other daemons sending the whole document to a daemon with an older version.
     void configuration_is_sent_on_request()
     {
-        this->fleet.config_received = [](const std::string&) { return true; };
+        this->fleet.config_received = [](const std::string&, const config_origin&) { return true; };
         this->fleet.offer_config(5, "document");
         fake_peer peer{this->io, this->address()};
         peer.send_hello();
--- a/packages/sidecar/tests/store_watcher_test.cpp
+++ b/packages/sidecar/tests/store_watcher_test.cpp
@@ -105,6 +105,7 @@
     CPPUNIT_TEST(stop_ends_a_call_that_missed_the_first_interrupt);
     CPPUNIT_TEST(daemon_without_a_role_calls_only_during_initialization);
     CPPUNIT_TEST(availability_is_reported_on_change);
+    CPPUNIT_TEST(calls_and_origins_are_reported);
     CPPUNIT_TEST(call_ratios_survive_a_restart_of_all_daemons);
     CPPUNIT_TEST_SUITE_END();
 
@@ -222,6 +223,23 @@
         CPPUNIT_ASSERT(this->availability == (std::vector<bool>{true, false, true}));
     }
 
+    /// A late configuration could not be traced to the call that was open meanwhile.
+    void calls_and_origins_are_reported()
+    {
+        this->start();
+        this->store.change = stored_config{.version = 4, .document = "four", .revision = 11};
+        this->watcher.step();
+        this->store.history_lost = true;
+        this->watcher.step();
+        const std::vector<std::pair<std::string, bool>> expected{{"read", false},  {"announce", false},
+                                                                 {"list", false},  {"watch", false},
+                                                                 {"watch", false}, {"watch", true}};
+        CPPUNIT_ASSERT(this->calls == expected);
+        CPPUNIT_ASSERT(this->configs.at(0).origin.source == config_source::store_read);
+        CPPUNIT_ASSERT(this->configs.at(1).origin.source == config_source::store_watch);
+        CPPUNIT_ASSERT(this->configs.at(1).origin.max_age > 0s);
+    }
+
     /// After all daemons lost power, requests were admitted for two seconds as if they made no nested calls.
     void call_ratios_survive_a_restart_of_all_daemons()
     {
@@ -254,6 +272,7 @@
     event_log events{"d"};
     std::vector<stored_config> configs;
     std::vector<bool> availability;
+    std::vector<std::pair<std::string, bool>> calls; ///< With whether they failed.
     std::vector<call_ratio> ratios;
     std::atomic<bool> listed{false};
     store_watcher<fake_store> watcher{
@@ -262,7 +281,9 @@
         {.config = [this](stored_config found) { this->configs.push_back(std::move(found)); },
          .members = [this](const std::vector<member_record>&) { this->listed = true; },
          .ratios = [this](std::vector<call_ratio> found) { this->ratios = std::move(found); },
-         .store_works = [this](bool works) { this->availability.push_back(works); }},
+         .store_works = [this](bool works) { this->availability.push_back(works); },
+         .store_call = [this](const store_call_report& report)
+         { this->calls.emplace_back(report.call, report.failed); }},
         events};
 };
 
