End every call to the store early enough for the configuration's time limit

Cause: each call had a time-out of its own, chosen without the limit that all of them together must keep. A watch was given up 3.0 s after it began, other calls after 3 s, and the pauses after that were 0.5 and 1 s (the first failure already doubled the delay). So a change was in force up to 3.5 s after open connections went silent and up to 4 s after the last lost answer, where daemons must be back within 3 s. After a change all watchers renew their watches at once, so the redundancy of six watchers did not help. Evidence: the two tests of late_configuration_test, 3,482 and 3,982 ms before.

--- a/packages/sidecar/include/laburnumreach/sidecar/store_watcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/store_watcher.hpp
@@ -9,6 +9,7 @@
 #include "laburnumreach/sidecar/peer_messages.hpp"
 #include "laburnumreach/sidecar/store_watch_role.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <functional>
@@ -161,7 +162,7 @@
     std::chrono::milliseconds retry_delay() const
     {
         constexpr int max_doublings = 10;
-        const auto delay = first_retry_delay * (1 << std::min(this->failures, max_doublings));
+        const auto delay = first_retry_delay * (1 << std::clamp(this->failures - 1, 0, max_doublings));
         return std::min<std::chrono::milliseconds>(delay, this->is_primary() ? primary_max_retry_delay
                                                                              : max_retry_delay);
     }
@@ -202,13 +203,14 @@
     static constexpr double min_ratio_change = 0.05;
     /// Delay after the first failed call; each further failure doubles it.
     static constexpr std::chrono::milliseconds first_retry_delay{250};
-    /// Maximum delay of a primary daemon. Together with the distribution to its peers, it is within the time
-    /// limit for a new configuration to take effect.
-    static constexpr std::chrono::milliseconds primary_max_retry_delay{1000};
+    /// Maximum delay of a primary daemon; a part of the time budget of a configuration, see
+    /// docs/design-sidecar.md.
+    static constexpr std::chrono::milliseconds primary_max_retry_delay{250};
     /// Maximum delay of the other daemons.
     static constexpr std::chrono::milliseconds max_retry_delay{4000};
-    /// Time-out of a long poll for changes; a dead connection is detected after this time and a margin.
-    static constexpr std::chrono::milliseconds primary_watch_timeout{2000};
+    /// Time-out of a long poll for changes; a dead connection is detected after this time and a margin. Also a
+    /// part of the time budget.
+    static constexpr std::chrono::milliseconds primary_watch_timeout{1000};
     static constexpr std::chrono::milliseconds watch_timeout{15000};
 
     /// @returns the cause of a failure; empty on success
