Read the configuration when a daemon takes over the watch

What callers would see: while the daemons that watch are turned away by the store, a daemon that takes over may be deaf for up to 16 s: it began with a watch of 15 s, on a connection that had been idle since its start and may have gone silent, from a revision that may be forgotten. Evidence: store_watcher_test::daemon_that_takes_over_reads_before_it_watches failed before (watch instead of read). Change: it reads first, which ends after 1.5 s on a dead connection.

--- a/packages/sidecar/include/laburnumreach/sidecar/store_watcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/store_watcher.hpp
@@ -255,6 +255,9 @@
         std::unique_lock lock{this->mutex};
         this->wake_condition.wait(lock,
                                   [this] { return this->stopping || this->role != store_watch_role::none; });
+        // The connection was idle and may have gone silent, and the history may be gone: a read shows it
+        // sooner than a watch.
+        this->revision.reset();
     }
 
     /// @returns the cause of a failure; empty on success
--- a/packages/sidecar/tests/store_watcher_test.cpp
+++ b/packages/sidecar/tests/store_watcher_test.cpp
@@ -108,6 +108,7 @@
     CPPUNIT_TEST(configuration_is_read_again_after_lost_history);
     CPPUNIT_TEST(new_revision_without_document_is_ignored);
     CPPUNIT_TEST(other_calls_that_fail_do_not_hold_up_the_configuration);
+    CPPUNIT_TEST(daemon_that_takes_over_reads_before_it_watches);
     CPPUNIT_TEST(stop_ends_a_call_that_missed_the_first_interrupt);
     CPPUNIT_TEST(daemon_without_a_role_calls_only_during_initialization);
     CPPUNIT_TEST(availability_is_reported_on_change);
@@ -201,6 +202,24 @@
         CPPUNIT_ASSERT(this->watcher.initialized());
     }
 
+    /// A daemon that takes over used a connection that had been idle, and might have gone silent, for a watch
+    /// of 15 s from a revision that might have been forgotten.
+    void daemon_that_takes_over_reads_before_it_watches()
+    {
+        std::thread control{[this] { this->watcher.run(); }};
+        while (!this->listed)
+        {
+            std::this_thread::sleep_for(1ms);
+        }
+        this->store.block_in_await = true;
+        this->watcher.set_role(store_watch_role::standby);
+        this->store.wait_until_blocked();
+        this->watcher.stop();
+        control.join();
+        CPPUNIT_ASSERT_EQUAL(std::string{"read"}, this->calls.at(3).first);
+        CPPUNIT_ASSERT_EQUAL(std::string{"watch"}, this->calls.at(4).first);
+    }
+
     /// A process that still waits for the store after its stop signal is killed at the end of the grace
     /// period.
     void stop_ends_a_call_that_missed_the_first_interrupt()
