--- a/packages/sidecar/include/laburnumreach/sidecar/store_watcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/store_watcher.hpp
@@ -213,7 +213,7 @@
     static constexpr std::chrono::milliseconds max_retry_delay{4000};
     /// Delay of the next call that does not concern the configuration after one that failed; each further
     /// failure doubles it, up to 4 s.
-    static constexpr core::duration first_other_delay = std::chrono::milliseconds{250};
+    static constexpr core::duration first_other_delay = std::chrono::milliseconds{500};
     static constexpr int max_other_failures = 4;
     /// Time-out of a long poll for changes; a dead connection is detected after this time and a margin. Also
     /// a part of the time budget.
@@ -342,7 +342,7 @@
         this->other_failures = failure.empty() ? 0 : std::min(this->other_failures + 1, max_other_failures);
         this->other_calls_not_before =
             failure.empty() ? core::time_point{}
-                            : core::boot_clock::now() + first_other_delay * (1 << this->other_failures);
+                            : core::boot_clock::now() + first_other_delay * (1 << (this->other_failures - 1));
         return this->record_outcome(call, began, failure);
     }
 
