--- a/packages/sidecar/include/laburnumreach/sidecar/store_watcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/store_watcher.hpp
@@ -214,7 +214,7 @@
     /// Delay of the next call that does not concern the configuration after one that failed; each further
     /// failure doubles it, up to 4 s.
     static constexpr core::duration first_other_delay = std::chrono::milliseconds{500};
-    static constexpr int max_other_failures = 4;
+    static constexpr int max_other_doublings = 3;
     /// Time-out of a long poll for changes; a dead connection is detected after this time and a margin. Also
     /// a part of the time budget.
     static constexpr std::chrono::milliseconds primary_watch_timeout{1000};
@@ -339,10 +339,16 @@
     /// @returns whether the call succeeded
     bool record_other_call(std::string_view call, core::time_point began, const std::string& failure)
     {
-        this->other_failures = failure.empty() ? 0 : std::min(this->other_failures + 1, max_other_failures);
-        this->other_calls_not_before =
-            failure.empty() ? core::time_point{}
-                            : core::boot_clock::now() + first_other_delay * (1 << (this->other_failures - 1));
+        if (failure.empty())
+        {
+            this->other_failures = 0;
+        }
+        else
+        {
+            this->other_calls_not_before =
+                core::boot_clock::now() + first_other_delay * (1 << this->other_failures);
+            this->other_failures = std::min(this->other_failures + 1, max_other_doublings);
+        }
         return this->record_outcome(call, began, failure);
     }
 
