--- a/review/7/case-2.cc
+++ b/review/7/case-2.cc
@@ -1,5 +1,5 @@
-// An instance answers uploads before it has read the whole body, with an answer that has no length. Some of its
-// connections are reset midway: the client gets the part as a whole answer.
+// The only daemon of its zone gets SIGTERM. Clients of a route without keys go on, as the pages say; the daemon passes
+// their requests on until it ends, and breaks them off.
 #include "../harness-2/deployment.hh"
 
 using namespace review;
@@ -7,126 +7,94 @@
 namespace
 {
 
-constexpr std::size_t upload_bytes = 8'000'000; // maxBodyBytes is 67108864.
-constexpr std::size_t answer_bytes = 60'000;
+constexpr int clients_count = 6;
 constexpr const char* host = "hulo84.example";
 
-/// An instance that answers uploads early, without a length, and ends the answer with its connection.
-class early_instance
+struct attempt
 {
-public:
-    early_instance(const instance_options& chosen, bool loses, record& record_file)
-        : settings(chosen), loses_answers(loses), log(record_file), beats(chosen)
+    std::string id;
+    double sent_after = 0; ///< Seconds after SIGTERM.
+    int status = 0;        ///< 0: the connection ended without an answer.
+};
+
+int play(const char* record_path)
+{
+    record log{record_path};
+    const json config = configuration(json::array({"huvo11a"}),
+                                      json::array({tenant("pulo780", "6wsjnbanfqasnmgkcuyj", 320, 320)}),
+                                      json::array({route("r-order", "/puka111/", "unsafe", "huvo11a", 5, 1.2, 0, true)}));
+    const auto work = [](const message&) { return instance::work{.time = milliseconds{400}}; };
+    deployment site{config,
+                    {{"sidecar-a", "sul-a", "huvo11a", work},
+                     {"sidecar-b", "sul-b", "huvo11a", work},
+                     {"sidecar-c", "sul-c", "huvo11a", work}}};
+    machine& front = site.at(0);
+
+    std::atomic<bool> ending{false};
+    std::mutex mutex;
+    std::vector<attempt> attempts;
+    const steady::time_point stop_time = steady::now() + milliseconds{1500};
+    std::vector<std::thread> clients;
+    for (int index = 0; index < clients_count; ++index)
     {
-        this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const int on = 1;
-        const int small = 64 * 1024; // Reads slowly.
-        ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        ::setsockopt(this->listener, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
-        const sockaddr_in native = chosen.at.native();
-        if (::bind(this->listener, reinterpret_cast<const sockaddr*>(&native), sizeof native) != 0 ||
-            ::listen(this->listener, 64) != 0)
-        {
-            throw setup_error{"cannot listen at " + chosen.at.text()};
-        }
-        std::thread{[this]
+        clients.emplace_back(
+            [&, index]
+            {
+                std::this_thread::sleep_for(milliseconds{70 * index});
+                connection to_daemon;
+                while (!ending)
+                {
+                    if (to_daemon.fd < 0 && !to_daemon.open(front.outbound()))
+                    {
+                        std::this_thread::sleep_for(milliseconds{100});
+                        continue;
+                    }
+                    to_daemon.set_receive_timeout(milliseconds{6000});
+                    attempt one{.id = attempt_id(),
+                                .sent_after = std::chrono::duration<double>(steady::now() - stop_time).count()};
+                    to_daemon.send(request_text("POST", host, "/puka111/order", one.id, 5000, {}, {}, "{}"));
+                    const auto answer = read_message(to_daemon);
+                    one.status = answer ? answer->status() : 0;
+                    log.line("order %s sent %.2f s after SIGTERM: %s", one.id.c_str(), one.sent_after,
+                             answer ? answer->start.c_str() : "connection ended without an answer");
+                    if (!answer || answer->field("connection") == "close")
                     {
-                        for (;;)
-                        {
-                            const int fd = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
-                            std::thread{[this, fd] { this->serve(fd); }}.detach();
-                        }
-                    }}
-            .detach();
+                        to_daemon.close();
+                    }
+                    const std::lock_guard lock{mutex};
+                    attempts.push_back(one);
+                }
+            });
     }
-
-    bool announced() const { return this->beats.acknowledged() > 0; }
-
-private:
-    void serve(int fd)
+    std::this_thread::sleep_until(stop_time);
+    if (trouble())
     {
-        connection served{fd};
-        const auto head = read_head(served);
-        if (!head)
-        {
-            return;
-        }
-        if (head->target() == "/health")
-        {
-            served.send("HTTP/1.1 200 OK\r\nLaburnumreach-Instance-Id: " + this->settings.id +
-                        "\r\nLaburnumreach-Server-Load: 0,0,235\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
-            return;
-        }
-        const std::string id = head->field("laburnumreach-attempt-id");
-        this->log.line("%s runs request %s", this->settings.id.c_str(), id.c_str());
-        const std::string part(answer_bytes / 2, 'a');
-        served.send("HTTP/1.1 200 OK\r\nLaburnumreach-Attempt-Id: " + id + "\r\nLaburnumreach-Server-Signature: " + id +
-                    ".sig\r\nConnection: close\r\n\r\n" + part);
-        this->log.line("request %s: half of the answer, %zu of %zu bytes, is sent; %zu bytes of the body are read",
-                       id.c_str(), part.size(), answer_bytes, served.received.size());
-        std::this_thread::sleep_for(milliseconds{400});
-        if (this->loses_answers && this->runs++ % 8 % 3 == 1) // 3 of 8
-        {
-            this->log.line("request %s: the connection ends with unread bytes of the body, which resets it", id.c_str());
-            return;
-        }
-        const std::size_t size = std::strtoull(head->field("content-length").c_str(), nullptr, 10);
-        std::size_t read = served.received.size();
-        served.received.clear();
-        while (read < size && served.receive())
-        {
-            read += served.received.size();
-            served.received.clear();
-        }
-        served.send(part);
-        this->log.line("request %s: %zu of %zu bytes of the body read, the whole answer is sent", id.c_str(), read, size);
+        front.signal(SIGTERM);
+        log.line("SIGTERM to the daemon, the only one of its zone");
     }
-
-    instance_options settings;
-    bool loses_answers;
-    std::atomic<int> runs{0};
-    record& log;
-    int listener = -1;
-    heartbeats beats;
-};
-
-int play(const char* record_path)
-{
-    record& log = *new record{record_path};
-    const json config = configuration(json::array({"lovo22d"}), json::array({tenant("pulo780", "6wsjnbanfqasnmgkcuyj", 320, 320)}),
-                                      json::array({route("r-photo", "/cufi502/", "upload", "lovo22d", 5, 1.2, 1)}));
-    const auto start = [&](const instance_options& chosen)
+    std::this_thread::sleep_until(stop_time + milliseconds{6500});
+    ending = true;
+    for (std::thread& client : clients)
     {
-        // answer_lost, how = "reset": share 0.6 and x = 0.4 for 4 s in the site file.
-        const bool loses = trouble() && chosen.id == "i-sidecar-a";
-        auto* const started = new early_instance{chosen, loses, log};
-        return [started] { return started->announced(); };
-    };
-    deployment site{config,
-                    {{"sidecar-a", "sul-a", "lovo22d", {}, start}, {"sidecar-b", "sul-b", "lovo22d", {}, start}}};
+        client.join();
+    }
 
-    int cut_and_complete = 0;
-    constexpr int uploads = 8;
-    for (int index = 0; index < uploads; ++index)
+    int broken_off = 0;
+    for (const run_event& run : site.runs->all())
     {
-        connection client;
-        if (!client.open(site.at(0).outbound()))
+        for (const attempt& one : attempts)
         {
-            throw setup_error{"no connection to the daemon"};
+            // Sent later than 3 s after the SIGTERM, so that the last sixth of graceS excuses nothing.
+            if (one.id == run.id && one.sent_after > 3.0 && one.status != 200)
+            {
+                log.line("order %s, sent %.2f s after SIGTERM, was run by %s; the client got %d", run.id.c_str(),
+                         one.sent_after, run.instance.c_str(), one.status);
+                ++broken_off;
+            }
         }
-        client.set_receive_timeout(milliseconds{6000});
-        const std::string id = attempt_id();
-        log.line("request %s: upload of %zu bytes sent", id.c_str(), upload_bytes);
-        client.send(request_text("POST", host, "/cufi502/1", id, 5000, "6wsjnbanfqasnmgkcuyj", {}, std::string(upload_bytes, 'p')));
-        const auto answer = read_message(client);
-        log.line("request %s: %s, %zu bytes of body", id.c_str(),
-                 answer ? answer->start.c_str() : "the connection ended without a complete answer",
-                 answer ? answer->body.size() : 0);
-        const bool cut = answer && answer->status() == 200 && answer->body.size() != answer_bytes;
-        cut_and_complete += cut ? 1 : 0;
     }
-    log.line("successes with a part of the instance's answer: %d of %d", cut_and_complete, uploads);
-    return cut_and_complete > 0 ? rule_broken : rule_held;
+    log.line("orders that were passed on and broken off: %d", broken_off);
+    return broken_off > 0 ? rule_broken : rule_held;
 }
 
 } // namespace
