End the daemons of a review case that is killed

Cause: a case that was ended by a signal left its daemons running. Change: they get SIGKILL when the case ends.

--- a/review/harness-2/standins.hh
+++ b/review/harness-2/standins.hh
@@ -24,6 +24,7 @@
 #include <random>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -699,6 +700,7 @@
         this->pid = ::fork();
         if (this->pid == 0)
         {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Also ends with a case that is killed.
             ::dup2(output, 1);
             ::dup2(output, 2);
             ::execve(arguments[0], arguments.data(), environment);
