--- a/review/9/case-2.cc
+++ b/review/9/case-2.cc
@@ -184,8 +184,9 @@
     log.line("the tenant sends %.1f times its usual", hot_factor);
     std::this_thread::sleep_for(milliseconds{5000}); // node_cut, for_s: up to 12 in the site file.
     is_cut = false;
-    log.line("the cut is over");
-    std::this_thread::sleep_for(milliseconds{5000});
+    rate = usual_per_s / 3.0;
+    log.line("the cut is over, and the tenant sends its usual");
+    std::this_thread::sleep_for(milliseconds{2000});
     ending = true;
     for (const auto& client : clients)
     {
