--- a/packages/bench/process/include/laburnumreach/process/child_process.hpp
+++ b/packages/bench/process/include/laburnumreach/process/child_process.hpp
@@ -16,7 +16,9 @@
     double control_seconds = 0.0; ///< Processor time of the thread named "control".
     double total_seconds = 0.0;   ///< Processor time of all threads that still run.
     double resident_mb = 0.0;
+    double peak_resident_mb = 0.0;
     std::size_t threads = 0;
+    std::size_t descriptors = 0; ///< Open file descriptors.
 };
 
 /// A started program. The destructor ends it with SIGKILL and waits for it.
@@ -45,7 +47,7 @@
     /// Returns whether the end of the process was not taken yet.
     bool running() const noexcept { return this->pid > 0; }
 
-    /// Reads processor time, resident memory and thread count from /proc.
+    /// Reads processor time, resident memory, thread and descriptor count from /proc.
     process_usage usage() const;
 
 private:
--- a/packages/bench/process/src/child_process.cpp
+++ b/packages/bench/process/src/child_process.cpp
@@ -3,11 +3,14 @@
 #include <array>
 #include <atomic>
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <spawn.h>
 #include <stdexcept>
+#include <string_view>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -129,6 +132,18 @@
     std::ifstream{root / "statm"} >> pages >> pages;
     result.resident_mb =
         static_cast<double>(pages) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / (1024.0 * 1024.0);
+    std::ifstream status{root / "status"};
+    for (std::string line; std::getline(status, line);)
+    {
+        constexpr std::string_view peak_field = "VmHWM:";
+        constexpr double kb_per_mb = 1024.0;
+        if (line.starts_with(peak_field))
+        {
+            result.peak_resident_mb = std::strtod(line.c_str() + peak_field.size(), nullptr) / kb_per_mb;
+        }
+    }
+    const std::filesystem::directory_iterator descriptors{root / "fd"};
+    result.descriptors = static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
     return result;
 }
 
