Free the memory of retained replies whose response is dropped

Callers saw nothing; the process grew: with 64 clients that pipeline requests for 1 MiB and read nothing, a sidecar held 220 MB while it accounted for 63 MB. Cause: a dropped response was replaced by an assignment from a short string, which keeps the memory of the former one. The two are swapped now.

--- a/packages/sidecar/src/retained_replies.cpp
+++ b/packages/sidecar/src/retained_replies.cpp
@@ -2,6 +2,8 @@
 
 #include "laburnumreach/sidecar/call_reasons.hpp"
 
+#include <utility>
+
 namespace laburnumreach::sidecar
 {
 
@@ -30,10 +32,12 @@
 void retained_replies::drop_response(entry& dropped)
 {
     this->total_bytes -= size_of(dropped.reply);
-    dropped.reply = {.id = dropped.reply.id,
-                     .kind = static_cast<std::uint8_t>(reply_kind::failed),
-                     .reason = std::string{call_reason::response_dropped},
-                     .load = dropped.reply.load};
+    reply_message statement{.id = dropped.reply.id,
+                            .kind = static_cast<std::uint8_t>(reply_kind::failed),
+                            .reason = std::string{call_reason::response_dropped},
+                            .load = dropped.reply.load};
+    // An assignment would keep the memory of the body.
+    std::swap(dropped.reply, statement);
 }
 
 const reply_message* retained_replies::find(const std::string& daemon_id, std::uint64_t call_id) const
--- a/packages/sidecar/tests/retained_replies_test.cpp
+++ b/packages/sidecar/tests/retained_replies_test.cpp
@@ -44,6 +44,7 @@
         CPPUNIT_ASSERT(static_cast<reply_kind>(dropped->kind) == reply_kind::failed);
         CPPUNIT_ASSERT_EQUAL(std::string{call_reason::response_dropped}, dropped->reason);
         CPPUNIT_ASSERT(dropped->body.empty());
+        CPPUNIT_ASSERT(dropped->body.capacity() < limit / 4); // Its memory is free.
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, dropped->id);
         CPPUNIT_ASSERT(static_cast<reply_kind>(this->replies.find("d", count)->kind) == reply_kind::response);
     }
