--- a/packages/config/include/laburnumreach/config/sidecar_settings.hpp
+++ b/packages/config/include/laburnumreach/config/sidecar_settings.hpp
@@ -48,11 +48,22 @@
     /// Bytes of requests and responses that the process may hold. Some are held twice while they are sent on,
     /// so that the whole process may take about twice as much.
     std::size_t body_memory = 48 * 1024 * 1024;
+    /// File descriptors that the process may open; zero for what the system allows.
+    std::size_t max_descriptors = 0;
+};
+
+/// What the VM grants to the process, where the settings file does not say it.
+struct granted_resources
+{
+    std::int64_t memory_mb = 0;       ///< Zero if unknown.
+    std::int64_t max_descriptors = 0; ///< Zero for what the system allows.
 };
 
 /// Parses and validates the settings of a sidecar.
+/// @param granted values of `memory_mb` and `max_descriptors` if the text has none
 /// @returns the settings, or every error found
-parse_result<sidecar_settings> parse_sidecar_settings(std::string_view text);
+parse_result<sidecar_settings> parse_sidecar_settings(std::string_view text,
+                                                      const granted_resources& granted = {});
 
 } // namespace laburnumreach::config
 
--- a/packages/config/src/sidecar_settings.cpp
+++ b/packages/config/src/sidecar_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "toml_reader.hpp"
 
+#include <algorithm>
 #include <optional>
 
 namespace laburnumreach::config
@@ -16,6 +17,10 @@
 constexpr double max_requests = 1e6;
 constexpr unsigned bits_per_mb = 20;
 constexpr std::int64_t default_body_memory_mb = 48;
+/// Memory of a process without messages, with the tables of a fleet of hundreds of daemons.
+constexpr std::int64_t process_memory_mb = 48;
+constexpr std::int64_t min_descriptors = 64;
+constexpr std::int64_t max_descriptors = 1'048'576;
 /// The largest response has 16 MiB, and as much is kept for callers' daemons that reconnect.
 constexpr std::int64_t min_body_memory_mb = 40;
 constexpr std::int64_t max_body_memory_mb = 65'536;
@@ -58,7 +63,7 @@
 
 } // namespace
 
-parse_result<sidecar_settings> parse_sidecar_settings(std::string_view text)
+parse_result<sidecar_settings> parse_sidecar_settings(std::string_view text, const granted_resources& granted)
 {
     parse_error_list errors;
     const std::optional<toml::table> parsed = parse_toml(text, errors);
@@ -97,7 +102,18 @@
     settings.retry_slack =
         limits.number("retry_slack", settings.retry_slack, {.min = 0, .max = max_requests});
     settings.retry_window = read_seconds(limits, "retry_window_s", settings.retry_window);
-    settings.body_memory = static_cast<std::size_t>(limits.integer("body_memory_mb", default_body_memory_mb,
+    // Half of what the VM has for messages, since some are held twice.
+    const std::int64_t memory_mb = limits.integer("memory_mb", granted.memory_mb, 0, max_body_memory_mb);
+    const std::int64_t derived_mb = std::max((memory_mb - process_memory_mb) / 2, min_body_memory_mb);
+    const std::int64_t fallback_mb = memory_mb == 0 ? default_body_memory_mb : derived_mb;
+    settings.max_descriptors = static_cast<std::size_t>(
+        limits.integer("max_descriptors", granted.max_descriptors, 0, max_descriptors));
+    if (settings.max_descriptors != 0 && settings.max_descriptors < min_descriptors)
+    {
+        limits.add_error("max_descriptors", "'max_descriptors' must be 0, for no limit, or at least " +
+                                                std::to_string(min_descriptors));
+    }
+    settings.body_memory = static_cast<std::size_t>(limits.integer("body_memory_mb", fallback_mb,
                                                                    min_body_memory_mb, max_body_memory_mb))
                            << bits_per_mb;
 
--- a/packages/config/src/sidecar_settings_change.cpp
+++ b/packages/config/src/sidecar_settings_change.cpp
@@ -25,6 +25,7 @@
     compare("listen.announced_address", &sidecar_settings::announced_address);
     compare("listen.metrics_port", &sidecar_settings::metrics_port);
     compare("store.address", &sidecar_settings::store);
+    compare("limits.max_descriptors", &sidecar_settings::max_descriptors);
     return changed;
 }
 
--- a/packages/config/tests/sidecar_settings_test.cpp
+++ b/packages/config/tests/sidecar_settings_test.cpp
@@ -44,6 +44,8 @@
     CPPUNIT_TEST(complete_settings_are_read);
     CPPUNIT_TEST(every_error_is_reported);
     CPPUNIT_TEST(announced_address_is_an_ip_address);
+    CPPUNIT_TEST(memory_for_messages_follows_the_memory_of_the_vm);
+    CPPUNIT_TEST(descriptors_are_bounded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,6 +75,28 @@
         CPPUNIT_ASSERT(!parse_sidecar_settings(text));
     }
 
+    void memory_for_messages_follows_the_memory_of_the_vm()
+    {
+        constexpr std::size_t mb = 1024 * 1024;
+        std::string text{complete_text};
+        text.erase(text.find("body_memory_mb"));
+        CPPUNIT_ASSERT_EQUAL(48 * mb, parse_sidecar_settings(text)->body_memory);
+        CPPUNIT_ASSERT_EQUAL(40 * mb, parse_sidecar_settings(text, {.memory_mb = 100})->body_memory);
+        CPPUNIT_ASSERT_EQUAL(106 * mb, parse_sidecar_settings(text, {.memory_mb = 260})->body_memory);
+        CPPUNIT_ASSERT_EQUAL(
+            56 * mb, parse_sidecar_settings(text + "memory_mb = 160\n", {.memory_mb = 260})->body_memory);
+        CPPUNIT_ASSERT_EQUAL(64 * mb, parse_sidecar_settings(complete_text, {.memory_mb = 260})->body_memory);
+    }
+
+    void descriptors_are_bounded()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, parse_sidecar_settings(complete_text)->max_descriptors);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{4100},
+            parse_sidecar_settings(complete_text, {.max_descriptors = 4100})->max_descriptors);
+        CPPUNIT_ASSERT(!parse_sidecar_settings(complete_text + "max_descriptors = 63\n"));
+    }
+
     void every_error_is_reported()
     {
         const auto settings =
--- a/packages/protocol/include/laburnumreach/protocol/message_codec.hpp
+++ b/packages/protocol/include/laburnumreach/protocol/message_codec.hpp
@@ -1,11 +1,13 @@
 #ifndef LABURNUMREACH_PROTOCOL_MESSAGE_CODEC_HPP
 #define LABURNUMREACH_PROTOCOL_MESSAGE_CODEC_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <msgpack.hpp>
 #include <optional>
 #include <span>
+#include <string>
 #include <tuple>
 #include <type_traits>
 #include <vector>
@@ -26,6 +28,45 @@
     message_layout<Message>::fields(message);
 };
 
+/// Limits on a received message: a stated number of elements is allocated before they are read, and each
+/// takes many times its size on the wire. A message_layout may state others.
+struct decode_limits
+{
+    std::size_t max_elements = 65'536; ///< In one list.
+    std::size_t max_depth = 32;
+};
+
+/// Returns the limits on a type of message.
+template <typename Message>
+constexpr decode_limits limits_of()
+{
+    if constexpr (requires { message_layout<Message>::limits; })
+    {
+        return message_layout<Message>::limits;
+    }
+    return {};
+}
+
+namespace detail
+{
+
+/// Appends an encoded message to a string.
+struct appending_stream
+{
+    std::string* target;
+    void write(const char* bytes, std::size_t size) { this->target->append(bytes, size); }
+};
+
+} // namespace detail
+
+/// Appends a message as MessagePack to a string, without a further copy.
+template <typename Message>
+void append_message(std::string& target, const Message& message)
+{
+    detail::appending_stream stream{&target};
+    msgpack::pack(stream, message);
+}
+
 /// Encodes a message as MessagePack.
 template <typename Message>
 std::vector<std::uint8_t> encode_message(const Message& message)
@@ -45,12 +86,14 @@
     {
         std::size_t offset = 0;
         const auto* begin = reinterpret_cast<const char*>(bytes.data());
-        // A stated number of elements is allocated before they are read, so it must not exceed the bytes.
-        constexpr std::size_t max_depth = 32;
+        constexpr decode_limits limits = limits_of<Message>();
         const std::size_t most = bytes.size();
-        const msgpack::unpack_limit limit{most, most, most, most, most, max_depth};
+        const std::size_t elements = std::min(most, limits.max_elements);
+        const msgpack::unpack_limit limit{elements, elements, most, most, most, limits.max_depth};
+        // Strings refer to the received bytes until they are converted, so they are copied once.
+        const auto refer = [](msgpack::type::object_type, std::size_t, void*) { return true; };
         const msgpack::object_handle handle =
-            msgpack::unpack(begin, bytes.size(), offset, nullptr, nullptr, limit);
+            msgpack::unpack(begin, bytes.size(), offset, refer, nullptr, limit);
         if (offset != bytes.size())
         {
             return std::nullopt;
--- a/packages/sidecar/include/laburnumreach/sidecar/call_reasons.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/call_reasons.hpp
@@ -18,6 +18,7 @@
 inline constexpr std::string_view deadline = "deadline";
 inline constexpr std::string_view never_received = "never_received";
 inline constexpr std::string_view outcome_unknown = "outcome_unknown";
+inline constexpr std::string_view memory = "memory";
 inline constexpr std::string_view response_dropped = "response_dropped";
 inline constexpr std::string_view link_lost = "link_lost";
 inline constexpr std::string_view daemon_stopping = "daemon_stopping";
--- a/packages/sidecar/include/laburnumreach/sidecar/exchange.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "laburnumreach/core/time.hpp"
 #include "laburnumreach/http/message_head.hpp"
+#include "laburnumreach/sidecar/memory_reservation.hpp"
 
 #include <cassert>
 #include <functional>
@@ -26,7 +27,9 @@
 public:
     http::request_head head;
     std::string body;
-    core::time_point received{}; ///< Time at which the request was completely received.
+    core::time_point received{};    ///< Time at which the request was completely received.
+    memory_reservation head_memory; ///< For the head, then for the response.
+    memory_reservation body_memory; ///< For the body of the request.
 
     /// Sets the response and passes it to the connection. Later calls have no effect.
     void respond(http_response response)
--- a/packages/sidecar/include/laburnumreach/sidecar/http_listener.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/http_listener.hpp
@@ -4,78 +4,49 @@
 #include "laburnumreach/sidecar/server_connection.hpp"
 #include "laburnumreach/sidecar/tcp_listener.hpp"
 
-#include <list>
 #include <memory>
+#include <unordered_map>
 
 namespace laburnumreach::sidecar
 {
 
-/// An HTTP server on one address, with its open connections.
+/// An HTTP server on one address. Owns its open connections.
+///
+/// At the largest number of connections, those that no request uses are closed in favour of new ones, and
+/// without any, new connections wait in the backlog of the system.
 class http_listener
 {
 public:
     /// @param served handler of requests and limits of callers
     /// @throws boost::system::system_error when the address cannot be bound
-    http_listener(asio::io_context& io, const config::endpoint& address, server_context served)
-        : context(std::make_shared<server_context>(std::move(served))),
-          listener(io, address, [this](tcp::socket socket) { this->add(std::move(socket)); })
-    {
-    }
+    http_listener(asio::io_context& io, const config::endpoint& address, server_context served);
 
-    /// Closes connections that exceed a timeout. Call it several times a second.
-    void check_timeouts(core::time_point now)
-    {
-        this->connections.remove_if(
-            [now](const std::weak_ptr<server_connection>& weak)
-            {
-                const auto connection = weak.lock();
-                if (connection == nullptr || !connection->is_open())
-                {
-                    return true;
-                }
-                connection->check_timeouts(now);
-                return false;
-            });
-    }
+    /// Continues with requests that wait for memory. Call it every few milliseconds.
+    void tick(core::time_point now);
 
-    /// Closes each connection after its pending responses, and idle ones at once.
-    void close_when_answered()
-    {
-        this->context->closing = true;
-        for (const auto& weak : this->connections)
-        {
-            if (const auto connection = weak.lock())
-            {
-                connection->close_if_idle();
-            }
-        }
-    }
+    /// Closes connections that exceed a timeout, and slow ones while memory is short. Call it several times a
+    /// second.
+    void check_timeouts(core::time_point now);
 
-    /// Returns the size of all messages that the connections hold.
-    std::size_t held_bytes() const
-    {
-        std::size_t total = 0;
-        for (const auto& weak : this->connections)
-        {
-            const auto connection = weak.lock();
-            total += connection == nullptr ? 0 : connection->held_bytes();
-        }
-        return total;
-    }
+    /// Closes each connection after its pending responses, and idle ones at once.
+    void close_when_answered();
 
     /// Returns the number of received requests without a response yet.
     std::size_t unanswered() const noexcept { return this->context->unanswered; }
 
-private:
-    void add(tcp::socket socket)
+    /// Returns the number of open connections.
+    std::size_t connection_count() const noexcept
     {
-        const auto connection = std::make_shared<server_connection>(std::move(socket), this->context);
-        this->connections.push_back(connection);
-        connection->start();
+        return this->connections.size() - this->context->closed.size();
     }
 
+private:
+    void add(tcp::socket socket);
+    void remove_closed();
+    void make_room(core::time_point now, const server_connection* kept);
+
     std::shared_ptr<server_context> context;
-    std::list<std::weak_ptr<server_connection>> connections;
+    std::unordered_map<const server_connection*, std::shared_ptr<server_connection>> connections;
     tcp_listener listener;
 };
 
--- a/packages/sidecar/include/laburnumreach/sidecar/http_status.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/http_status.hpp
@@ -10,6 +10,7 @@
 inline constexpr int bad_request = 400;
 inline constexpr int unauthorized = 401;
 inline constexpr int not_found = 404;
+inline constexpr int request_timeout = 408;
 inline constexpr int payload_too_large = 413;
 inline constexpr int misdirected = 421;
 inline constexpr int too_many_requests = 429;
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_connection.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_connection.hpp
@@ -81,6 +81,9 @@
     /// Returns the size of the request and of the response, as far as they are held.
     std::size_t held_bytes() const;
 
+    /// Returns the size of the response, as far as it is held.
+    std::size_t response_bytes() const { return this->received.size() + this->result.body.size(); }
+
     /// Returns whether the connection is open, idle and within its idle limit.
     bool reusable(core::time_point now) const;
 
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "laburnumreach/sidecar/header_names.hpp"
 #include "laburnumreach/sidecar/instance_connection.hpp"
 #include "laburnumreach/sidecar/instance_state.hpp"
+#include "laburnumreach/sidecar/memory_reservation.hpp"
 #include "laburnumreach/sidecar/peer_messages.hpp"
 #include "laburnumreach/sidecar/sidecar_metrics.hpp"
 #include "laburnumreach/sidecar/slot_queue.hpp"
@@ -46,6 +47,8 @@
         /// Time after its deregistration in which an instance still gets calls, since these may have been
         /// sent before the senders learned of it.
         core::duration drain_limit = std::chrono::seconds{1};
+        /// Accounts for the requests, and outlives the dispatcher; null for no limit.
+        body_memory* memory = nullptr;
     };
 
     instance_dispatcher(asio::io_context& context, options initial_settings, instance_state& state,
@@ -65,11 +68,15 @@
 
     /// Sets how many bytes of responses may be read until the next call. When they are used up, all large
     /// responses wait except the one to the most urgent call, so that it ends and frees its memory.
-    void allow_reading(std::size_t bytes);
+    /// @param may_exceed whether that one may be read; not if callers leave their responses unread
+    void allow_reading(std::size_t bytes, bool may_exceed = true);
 
     /// Returns the size of all messages that are held.
     std::size_t held_bytes() const;
 
+    /// Returns the size of the responses that are being received. Unlike requests, they are not reserved.
+    std::size_t response_bytes() const;
+
     /// Reacts to a change of the instance's state.
     void on_instance_changed();
 
@@ -102,6 +109,7 @@
     struct open_call
     {
         call_message message;
+        memory_reservation memory; ///< For the request.
         reply_handler handler;
         core::time_point arrived{};
         core::time_point deadline{};
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
@@ -41,7 +41,8 @@
 {
 public:
     peer_link(asio::io_context& context, member_record target_record, fleet_state& known_fleet,
-              std::shared_ptr<const peer_link_callbacks> link_callbacks, event_log& log);
+              std::shared_ptr<const peer_link_callbacks> link_callbacks, event_log& log,
+              body_memory* accounting_memory = nullptr);
 
     void start() { this->connect(); }
 
@@ -75,9 +76,6 @@
     /// Sends probes, applies timeouts and reconnects. Call it every few milliseconds.
     void tick(core::time_point now);
 
-    /// Returns the size of all frames that are held.
-    std::size_t held_bytes() const { return this->stream == nullptr ? 0 : this->stream->held_bytes(); }
-
     const member_record& target() const noexcept { return this->peer; }
 
     static constexpr core::duration probe_interval = std::chrono::milliseconds{500};
@@ -99,6 +97,7 @@
     void on_frame(frame_type type, std::span<const std::uint8_t> body);
     void on_welcome(const welcome_message& welcome);
     void on_probe_reply(const probe_reply_message& reply);
+    void on_dropped_reply(std::uint64_t call_id);
     void disconnect(std::string_view cause);
     void report_all_lost();
 
@@ -116,6 +115,7 @@
     fleet_state& fleet;
     std::shared_ptr<const peer_link_callbacks> callbacks;
     event_log& events;
+    body_memory* memory;
     phase state = phase::waiting;
     std::uint64_t connect_attempt = 0; ///< Number of the attempt; identifies callbacks of abandoned ones.
     std::shared_ptr<tcp::socket> connecting_socket;
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
@@ -299,6 +299,9 @@
 template <>
 struct message_layout<sidecar::call_message>
 {
+    /// The message may be as large as a request or a response, but has few elements.
+    static constexpr decode_limits limits{.max_elements = 64, .max_depth = 3};
+
     static auto fields(auto& m)
     {
         return std::tie(m.id, m.service, m.route, m.attempt_id, m.method, m.target, m.fields, m.body,
@@ -315,6 +318,9 @@
 template <>
 struct message_layout<sidecar::reply_message>
 {
+    /// The message may be as large as a request or a response, but has few elements.
+    static constexpr decode_limits limits{.max_elements = 64, .max_depth = 3};
+
     static auto fields(auto& m)
     {
         return std::tie(m.id, m.kind, m.status, m.fields, m.body, m.reason, m.load);
--- a/packages/sidecar/include/laburnumreach/sidecar/receive_buffer.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/receive_buffer.hpp
@@ -3,6 +3,7 @@
 
 #include "laburnumreach/sidecar/asio.hpp"
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <string_view>
@@ -25,14 +26,17 @@
 class receive_buffer
 {
 public:
-    /// Reads once, up to the size of the shared block.
-    receive_result receive(tcp::socket& socket)
+    /// Size of the shared block, large enough for most messages in one system call.
+    static constexpr std::size_t block_bytes = 128 * 1024;
+
+    /// Reads once.
+    /// @param most_bytes largest number of bytes to read; block_bytes at most
+    receive_result receive(tcp::socket& socket, std::size_t most_bytes = block_bytes)
     {
-        // Large enough for most messages in one system call.
-        constexpr std::size_t block_bytes = 128 * 1024;
         static thread_local std::array<char, block_bytes> block;
         error_code error;
-        const std::size_t count = socket.read_some(asio::buffer(block), error);
+        const std::size_t count =
+            socket.read_some(asio::buffer(block.data(), std::min(most_bytes, block_bytes)), error);
         this->compact();
         this->bytes.append(block.data(), count);
         if (error == asio::error::would_block || error == asio::error::try_again)
@@ -51,12 +55,12 @@
     /// Removes bytes from the front.
     void consume(std::size_t count) noexcept
     {
+        constexpr std::size_t kept_bytes = 16 * 1024;
         this->begin += count;
-        if (this->begin == this->bytes.size())
+        const std::size_t left = this->bytes.size() - this->begin;
+        if (left == 0 || (this->bytes.capacity() > block_bytes * 2 && left < block_bytes))
         {
-            this->bytes.clear();
-            this->begin = 0;
-            constexpr std::size_t kept_bytes = 16 * 1024;
+            this->compact(); // The room that a large message took is given back.
             if (this->bytes.capacity() > kept_bytes)
             {
                 this->bytes.shrink_to_fit();
@@ -66,6 +70,16 @@
 
     std::size_t size() const noexcept { return this->bytes.size(); }
 
+    /// Returns the number of bytes that are allocated.
+    std::size_t capacity() const noexcept { return this->bytes.capacity(); }
+
+    /// Makes room for so many unconsumed bytes, so that the buffer does not grow in steps meanwhile.
+    void reserve(std::size_t count)
+    {
+        this->compact();
+        this->bytes.reserve(count);
+    }
+
     bool empty() const noexcept { return this->begin == this->bytes.size(); }
 
 private:
--- a/packages/sidecar/include/laburnumreach/sidecar/send_queue.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/send_queue.hpp
@@ -19,6 +19,19 @@
 public:
     void add(std::string_view bytes) { this->waiting.append(bytes); }
 
+    /// Adds bytes without a copy where nothing else waits.
+    void add(std::string&& bytes)
+    {
+        if (this->waiting.empty())
+        {
+            this->waiting = std::move(bytes);
+            return;
+        }
+        this->waiting.append(bytes);
+    }
+
+    void add(const char* text) { this->add(std::string_view{text}); }
+
     /// Starts sending unless a send is in progress.
     /// @param owner keeps the socket alive until the send ends
     /// @param ended called with the result each time the queue becomes empty or a send fails
@@ -44,9 +57,12 @@
                               this->in_progress = false;
                               this->sending.clear();
                               constexpr std::size_t kept_bytes = 16 * 1024;
-                              if (this->sending.capacity() > kept_bytes)
+                              for (std::string* buffer : {&this->sending, &this->waiting})
                               {
-                                  this->sending.shrink_to_fit();
+                                  if (buffer->empty() && buffer->capacity() > kept_bytes)
+                                  {
+                                      buffer->shrink_to_fit();
+                                  }
                               }
                               if (!error && !this->waiting.empty())
                               {
@@ -63,6 +79,9 @@
     /// Returns the number of bytes that are not sent yet, and of those whose send is in progress.
     std::size_t size() const noexcept { return this->waiting.size() + this->sending.size(); }
 
+    /// Returns the number of bytes that are allocated.
+    std::size_t capacity() const noexcept { return this->waiting.capacity() + this->sending.capacity(); }
+
     bool idle() const noexcept { return !this->in_progress && this->waiting.empty(); }
 
 private:
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -4,6 +4,7 @@
 #include "laburnumreach/config/sidecar_settings.hpp"
 #include "laburnumreach/sidecar/body_memory.hpp"
 #include "laburnumreach/sidecar/call_ratio_estimator.hpp"
+#include "laburnumreach/sidecar/connection_limits.hpp"
 #include "laburnumreach/sidecar/fleet_state.hpp"
 #include "laburnumreach/sidecar/http_listener.hpp"
 #include "laburnumreach/sidecar/instance_dispatcher.hpp"
@@ -14,9 +15,11 @@
 #include "laburnumreach/sidecar/request_router.hpp"
 #include "laburnumreach/sidecar/store_watcher.hpp"
 
+#include <limits>
 #include <memory>
 #include <optional>
 #include <set>
+#include <string_view>
 
 namespace laburnumreach::sidecar
 {
@@ -75,7 +78,16 @@
 private:
     using handler = std::function<void(const std::shared_ptr<exchange>&)>;
 
-    void open_http(std::optional<http_listener>& listener, const config::endpoint& address, handler handle);
+    /// Limits of one HTTP address.
+    struct http_limits
+    {
+        std::size_t max_connections = 0;
+        std::uint64_t max_body_bytes = std::numeric_limits<std::uint64_t>::max();
+    };
+
+    void open_http(std::optional<http_listener>& listener, const config::endpoint& address, handler handle,
+                   const http_limits& limits);
+    void count_limit(std::string_view limit);
     void wait_for_signal();
     void schedule_tick();
     void tick();
@@ -102,13 +114,14 @@
     core::duration work_drain_limit() const;
 
     config::sidecar_settings settings;
+    connection_limits connections;
     platform_bindings platform;
     event_log& events;
+    body_memory memory; ///< Outlives the event loop, whose handlers own connections.
     asio::io_context io{1};
     asio::signal_set signals;
     asio::steady_timer timer;
     sidecar_metrics counters;
-    body_memory memory;
     instance_state instance;
     instance_probe probe;
     fleet_state fleet;
--- a/packages/sidecar/src/instance_connection.cpp
+++ b/packages/sidecar/src/instance_connection.cpp
@@ -110,9 +110,7 @@
 
 void instance_connection::send()
 {
-    this->output.add(this->request_bytes);
-    this->request_bytes.clear();
-    this->request_bytes.shrink_to_fit();
+    this->output.add(std::exchange(this->request_bytes, {}));
     // A send error also shows on reading, where a response that arrived before it can still be read.
     this->output.flush(this->socket, this->shared_from_this(), [](const error_code&) {});
     this->wait_readable();
--- a/packages/sidecar/src/instance_dispatcher.cpp
+++ b/packages/sidecar/src/instance_dispatcher.cpp
@@ -60,6 +60,10 @@
     const ticket id = this->next_ticket++;
     open_call& entry = this->calls[id];
     entry.message = std::move(call);
+    const std::size_t bytes = entry.message.body.size() + entry.message.fields.size();
+    entry.memory = {this->settings.memory,
+                    bytes > small_body_bytes ? memory_use::large_body : memory_use::other};
+    entry.memory.resize(bytes);
     entry.handler = std::move(handler);
     entry.arrived = now;
     entry.deadline = now + std::chrono::milliseconds{entry.message.remaining_ms};
@@ -229,7 +233,7 @@
                   });
 }
 
-void instance_dispatcher::allow_reading(std::size_t bytes)
+void instance_dispatcher::allow_reading(std::size_t bytes, bool may_exceed)
 {
     this->allowance->set(bytes);
     const auto urgency_order = [](const open_call& call) {
@@ -248,7 +252,7 @@
     {
         if (call.connection != nullptr)
         {
-            call.connection->resume(&call == most_urgent);
+            call.connection->resume(may_exceed && &call == most_urgent);
         }
     }
 }
@@ -263,6 +267,16 @@
     return total;
 }
 
+std::size_t instance_dispatcher::response_bytes() const
+{
+    std::size_t total = 0;
+    for (const auto& [id, call] : this->calls)
+    {
+        total += call.connection == nullptr ? 0 : call.connection->response_bytes();
+    }
+    return total;
+}
+
 void instance_dispatcher::on_instance_changed()
 {
     if (this->instance.accepts_work())
@@ -343,6 +357,7 @@
         text += "Content-Length: " + std::to_string(message.body.size()) + "\r\n";
     }
     text += "\r\n";
+    text.reserve(text.size() + message.body.size());
     text += message.body;
     return text;
 }
--- a/packages/sidecar/src/peer_link.cpp
+++ b/packages/sidecar/src/peer_link.cpp
@@ -1,17 +1,20 @@
 #include "laburnumreach/sidecar/peer_link.hpp"
 
+#include "laburnumreach/sidecar/call_reasons.hpp"
 #include "laburnumreach/sidecar/read_frame.hpp"
 
 namespace laburnumreach::sidecar
 {
 
 peer_link::peer_link(asio::io_context& context, member_record target_record, fleet_state& known_fleet,
-                     std::shared_ptr<const peer_link_callbacks> link_callbacks, event_log& log)
+                     std::shared_ptr<const peer_link_callbacks> link_callbacks, event_log& log,
+                     body_memory* accounting_memory)
     : io(context),
       peer(std::move(target_record)),
       fleet(known_fleet),
       callbacks(std::move(link_callbacks)),
       events(log),
+      memory(accounting_memory),
       disconnected_since(core::boot_clock::now())
 {
 }
@@ -85,10 +88,19 @@
     }
     this->state = phase::handshake;
     this->phase_start = core::boot_clock::now();
-    this->stream = std::make_shared<frame_stream>(std::move(*this->connecting_socket));
+    this->stream = std::make_shared<frame_stream>(std::move(*this->connecting_socket), this->memory);
     this->connecting_socket = nullptr;
     const std::weak_ptr<peer_link> weak = this->weak_from_this();
     const std::uint64_t current = this->connect_attempt;
+    this->stream->set_drop_handler(
+        [weak, current](frame_type, std::uint64_t call_id)
+        {
+            const auto self = weak.lock();
+            if (self != nullptr && self->connect_attempt == current)
+            {
+                self->on_dropped_reply(call_id);
+            }
+        });
     this->stream->start(
         [weak, current](frame_type type, std::span<const std::uint8_t> body)
         {
@@ -164,6 +176,17 @@
     }
 }
 
+/// Ends a call whose reply did not fit into the memory.
+void peer_link::on_dropped_reply(std::uint64_t call_id)
+{
+    if (this->open_calls.erase(call_id) > 0)
+    {
+        this->callbacks->on_reply({.id = call_id,
+                                   .kind = static_cast<std::uint8_t>(reply_kind::failed),
+                                   .reason = std::string{call_reason::memory}});
+    }
+}
+
 void peer_link::on_probe_reply(const probe_reply_message& reply)
 {
     this->probe_outstanding = this->probe_outstanding && reply.sequence != this->probe_sequence;
--- a/packages/sidecar/src/peer_server.cpp
+++ b/packages/sidecar/src/peer_server.cpp
@@ -10,17 +10,28 @@
 {
 
 peer_server::peer_server(instance_dispatcher& call_dispatcher, fleet_state& known_fleet, event_log& log,
-                         callbacks owner_callbacks)
-    : dispatcher(call_dispatcher), fleet(known_fleet), events(log), handlers(std::move(owner_callbacks))
+                         callbacks owner_callbacks, peer_server_options chosen_limits)
+    : dispatcher(call_dispatcher),
+      fleet(known_fleet),
+      events(log),
+      handlers(std::move(owner_callbacks)),
+      limits(chosen_limits)
 {
 }
 
 void peer_server::accept(tcp::socket socket)
 {
-    const auto stream = std::make_shared<frame_stream>(std::move(socket));
+    const core::time_point now = core::boot_clock::now();
+    const std::size_t most = std::min(max_new_connections, this->limits.max_connections);
+    this->close_new_connections(now, most - 1);
+    const auto stream = std::make_shared<frame_stream>(std::move(socket), this->limits.memory);
     const auto daemon_id = std::make_shared<std::string>();
     const std::weak_ptr<frame_stream> weak = stream;
+    this->new_connections.push_back({.stream = weak, .accepted = now});
     stream->set_silence_timeout(silence_timeout);
+    stream->set_frame_limit(max_hello_bytes);
+    stream->set_drop_handler([this, daemon_id](frame_type, std::uint64_t call_id)
+                             { this->on_dropped_call(*daemon_id, call_id); });
     stream->start(
         [this, weak, daemon_id](frame_type type, std::span<const std::uint8_t> body)
         {
@@ -40,6 +51,39 @@
         });
 }
 
+/// Closes connections whose hello message is late, and the oldest ones above a number.
+void peer_server::close_new_connections(core::time_point now, std::size_t most)
+{
+    std::erase_if(this->new_connections,
+                  [](const new_connection& entry)
+                  {
+                      const auto stream = entry.stream.lock();
+                      return stream == nullptr || !stream->is_open();
+                  });
+    while (!this->new_connections.empty() && (this->new_connections.size() > most ||
+                                              now - this->new_connections.front().accepted > hello_timeout))
+    {
+        if (const auto stream = this->new_connections.front().stream.lock())
+        {
+            this->handlers.on_limit("peer_hello");
+            stream->close();
+        }
+        this->new_connections.pop_front();
+    }
+}
+
+/// Returns whether a daemon that says hello is served: all that are known, and others up to the limits.
+bool peer_server::accepts_daemon(const std::string& daemon_id) const
+{
+    const auto known = this->sessions.find(daemon_id);
+    if (known == this->sessions.end())
+    {
+        return this->sessions.size() < max_sessions &&
+               this->connected_sessions < this->limits.max_connections;
+    }
+    return known->second.stream != nullptr || this->connected_sessions < this->limits.max_connections;
+}
+
 void peer_server::on_frame(const std::shared_ptr<frame_stream>& stream, std::string& daemon_id,
                            frame_type type, std::span<const std::uint8_t> body)
 {
@@ -113,6 +157,12 @@
 void peer_server::on_hello(const std::shared_ptr<frame_stream>& stream, std::string& daemon_id,
                            const hello_message& hello)
 {
+    if (!this->accepts_daemon(hello.sender.daemon_id))
+    {
+        this->handlers.on_limit("peer_connections");
+        stream->close();
+        return;
+    }
     session& peer = this->sessions[hello.sender.daemon_id];
     if (hello.sender.started_ms < peer.sender.started_ms)
     {
@@ -127,6 +177,10 @@
         peer = {};
     }
     peer.sender = hello.sender;
+    std::erase_if(this->new_connections,
+                  [&](const new_connection& entry) { return entry.stream.lock() == stream; });
+    stream->remove_frame_limit();
+    this->connected_sessions += peer.stream == nullptr ? 1 : 0;
     // Calls that are still in transit on the old connection never start, since it is not read any more.
     if (peer.stream != nullptr)
     {
@@ -211,13 +265,34 @@
     const std::uint64_t started_ms = peer.sender.started_ms;
     peer.last_call = core::boot_clock::now();
     peer.last_received_call = std::max(peer.last_received_call, id);
-    const core::time_point deadline = peer.last_call + std::chrono::milliseconds{call.remaining_ms};
+    const core::time_point deadline =
+        peer.last_call +
+        std::min<core::duration>(std::chrono::milliseconds{call.remaining_ms}, max_call_time);
     peer.open_calls[id] = {
         .ticket = this->dispatcher.submit(std::move(call), [this, daemon_id, started_ms](reply_message reply)
                                           { this->on_reply(daemon_id, started_ms, std::move(reply)); }),
         .deadline = deadline};
 }
 
+/// Refuses a call for which there was no memory.
+void peer_server::on_dropped_call(const std::string& daemon_id, std::uint64_t call_id)
+{
+    const auto found = this->sessions.find(daemon_id);
+    if (found == this->sessions.end() || found->second.stream == nullptr)
+    {
+        return;
+    }
+    session& peer = found->second;
+    peer.last_received_call = std::max(peer.last_received_call, call_id);
+    this->handlers.on_limit("memory");
+    reply_message reply{.id = call_id,
+                        .kind = static_cast<std::uint8_t>(reply_kind::not_started),
+                        .reason = std::string{call_reason::memory},
+                        .load = this->dispatcher.status()};
+    peer.stream->send(frame_type::reply, reply);
+    this->recent_replies.add(daemon_id, std::move(reply), core::boot_clock::now() + dropped_call_retention);
+}
+
 void peer_server::on_reply(const std::string& daemon_id, std::uint64_t started_ms, reply_message reply)
 {
     const auto found = this->sessions.find(daemon_id);
@@ -300,6 +375,8 @@
         return;
     }
     this->last_check = now;
+    this->close_new_connections(now, max_new_connections);
+    this->close_silent_connections(now);
     for (auto& [daemon_id, peer] : this->sessions)
     {
         if (peer.stream == nullptr && !peer.open_calls.empty() &&
@@ -310,14 +387,26 @@
     }
 }
 
-std::size_t peer_server::held_bytes() const
+void peer_server::close_silent_connections(core::time_point now)
 {
-    std::size_t total = this->recent_replies.bytes();
-    for (const auto& [daemon_id, peer] : this->sessions)
+    this->connected_sessions = 0;
+    for (auto& [daemon_id, peer] : this->sessions)
     {
-        total += peer.stream == nullptr ? 0 : peer.stream->held_bytes();
+        if (peer.stream == nullptr)
+        {
+            continue;
+        }
+        ++this->connected_sessions;
+        const core::time_point since = now - dead_connection_time;
+        if (peer.stream->last_received() < since || peer.stream->is_unread_since(since))
+        {
+            this->handlers.on_limit("peer_silent");
+            peer.stream->close();
+            peer.stream = nullptr;
+            peer.disconnected_since = now;
+            --this->connected_sessions;
+        }
     }
-    return total;
 }
 
 void peer_server::broadcast_status(const instance_status& status, bool is_change)
--- a/packages/sidecar/src/request_router.cpp
+++ b/packages/sidecar/src/request_router.cpp
@@ -223,6 +223,7 @@
     }
     this->retry_budgets[call.message.service].record_request(now);
     this->by_deadline.emplace(call.deadline, call.id);
+    request->head.headers.clear(); // Decoded, they take many times their size.
     request->on_cancelled = [this, id = call.id] { this->on_caller_disconnected(id); };
     routed_call& stored = this->calls.emplace(call.id, std::move(call)).first->second;
     this->place_or_wait(stored);
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <limits>
+#include <sys/resource.h>
 
 namespace laburnumreach::sidecar
 {
@@ -26,6 +28,19 @@
 /// Load per slot above which the status is broadcast without being requested.
 constexpr double min_broadcast_load = 0.7;
 
+/// Returns the number of descriptors that the process may open.
+/// @param setting from the settings file; zero for none
+std::size_t usable_descriptors(std::size_t setting)
+{
+    rlimit limit{};
+    const bool known = ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+    const std::size_t system_limit = known ? limit.rlim_cur : std::numeric_limits<std::size_t>::max();
+    constexpr std::size_t default_descriptors = 4096; // Where neither says anything.
+    const std::size_t chosen =
+        setting == 0 && !known ? default_descriptors : std::max(setting, std::size_t{1});
+    return setting == 0 && known ? system_limit : std::min(chosen, system_limit);
+}
+
 member_record make_own_record(const config::sidecar_settings& settings)
 {
     return {.daemon_id = settings.daemon_id,
@@ -41,11 +56,12 @@
 sidecar_daemon::sidecar_daemon(config::sidecar_settings initial_settings, platform_bindings bindings,
                                event_log& log)
     : settings(std::move(initial_settings)),
+      connections(divide_descriptors(usable_descriptors(this->settings.max_descriptors))),
       platform(std::move(bindings)),
       events(log),
+      memory(this->settings.body_memory),
       signals(this->io),
       timer(this->io),
-      memory(this->settings.body_memory),
       instance(
           {.address = to_string(this->settings.upstream),
            .history = this->settings.first_start ? instance_history::complete : instance_history::partial,
@@ -61,7 +77,8 @@
           this->io,
           {.instance_address = make_endpoint(this->settings.upstream.address, this->settings.upstream.port),
            .names = this->platform.headers,
-           .drain_limit = this->work_drain_limit()},
+           .drain_limit = this->work_drain_limit(),
+           .memory = &this->memory},
           this->instance, log, this->counters),
       peers(this->dispatcher, this->fleet, log,
             {.ratios = [this] { return std::span<const call_ratio>{this->own_ratios}; },
@@ -72,7 +89,9 @@
                  this->router.record_probe(sender, probe);
              },
              .on_token_request = [this](const token_request_message& request)
-             { return this->router.admission().on_token_request(request); }}),
+             { return this->router.admission().on_token_request(request); },
+             .on_limit = [this](std::string_view limit) { this->count_limit(limit); }},
+            {.max_connections = this->connections.peers, .memory = &this->memory}),
       router({.daemon_id = this->settings.daemon_id,
               .zone = this->settings.zone,
               .service = this->settings.service,
@@ -110,15 +129,20 @@
 
 void sidecar_daemon::open()
 {
+    const http_limits small{.max_connections = this->connections.each_other,
+                            .max_body_bytes = small_body_bytes};
     this->open_http(this->outbound, this->settings.outbound,
-                    [this](const std::shared_ptr<exchange>& request) { this->router.handle(request); });
-    this->open_http(this->ready, this->settings.ready,
-                    [this](const std::shared_ptr<exchange>& request) { this->on_ready(request); });
-    this->open_http(this->control, this->settings.control,
-                    [this](const std::shared_ptr<exchange>& request) { this->on_control(request); });
-    this->open_http(this->metrics,
-                    {.address = this->settings.outbound.address, .port = this->settings.metrics_port},
-                    [this](const std::shared_ptr<exchange>& request) { this->on_metrics(request); });
+                    [this](const std::shared_ptr<exchange>& request) { this->router.handle(request); },
+                    {.max_connections = this->connections.callers});
+    this->open_http(
+        this->ready, this->settings.ready,
+        [this](const std::shared_ptr<exchange>& request) { this->on_ready(request); }, small);
+    this->open_http(
+        this->control, this->settings.control,
+        [this](const std::shared_ptr<exchange>& request) { this->on_control(request); }, small);
+    this->open_http(
+        this->metrics, {.address = this->settings.outbound.address, .port = this->settings.metrics_port},
+        [this](const std::shared_ptr<exchange>& request) { this->on_metrics(request); }, small);
     this->peer_listener.emplace(this->io, this->settings.peers,
                                 [this](tcp::socket socket) { this->peers.accept(std::move(socket)); });
     this->signals.add(SIGTERM);
@@ -140,18 +164,30 @@
 }
 
 void sidecar_daemon::open_http(std::optional<http_listener>& listener, const config::endpoint& address,
-                               handler handle)
+                               handler handle, const http_limits& limits)
+{
+    listener.emplace(
+        this->io, address,
+        server_context{.handle = std::move(handle),
+                       .limits =
+                           [this]
+                       {
+                           const auto& routes = this->router.routes();
+                           return routes == nullptr ? caller_limits{} : routes->limits();
+                       },
+                       // At the limit, the wait for memory would be in vain.
+                       .has_memory_for = [this](std::size_t) { return this->memory.free_bytes() > 0; },
+                       .on_limit = [this](std::string_view limit) { this->count_limit(limit); },
+                       .memory = &this->memory,
+                       .max_body_bytes = limits.max_body_bytes,
+                       .max_connections = limits.max_connections});
+}
+
+/// Records that a client met a limit.
+void sidecar_daemon::count_limit(std::string_view limit)
 {
-    listener.emplace(this->io, address,
-                     server_context{.handle = std::move(handle),
-                                    .limits =
-                                        [this]
-                                    {
-                                        const auto& routes = this->router.routes();
-                                        return routes == nullptr ? caller_limits{} : routes->limits();
-                                    },
-                                    .has_memory_for = [this](std::size_t bytes)
-                                    { return bytes <= this->memory.free_bytes(); }});
+    this->counters.count("client_limits_total", limit);
+    this->events.request_event("client_limit", {{"limit", std::string{limit}}});
 }
 
 void sidecar_daemon::wait_for_signal()
@@ -205,6 +241,11 @@
         link->tick(now);
     }
     this->limit_memory(now);
+    for (std::optional<http_listener>* listener :
+         {&this->outbound, &this->ready, &this->control, &this->metrics})
+    {
+        (*listener)->tick(now);
+    }
     this->refresh_own_status();
     this->router.tick(now);
     if (now - this->last_measurement > measurement_interval)
@@ -266,7 +307,7 @@
     }
 }
 
-/// Measures the memory that messages take, and limits what is accepted while it is short.
+/// Measures the memory of messages that is not reserved, and limits what is accepted while it is short.
 void sidecar_daemon::limit_memory(core::time_point now)
 {
     const bool is_close = this->memory.held_bytes() > this->settings.body_memory / 4;
@@ -275,21 +316,17 @@
         return;
     }
     this->last_memory_check = now;
-    std::size_t held = this->dispatcher.held_bytes() + this->router.held_bytes() + this->peers.held_bytes() +
-                       this->outbound->held_bytes();
-    for (const auto& [id, link] : this->links)
-    {
-        held += link->held_bytes();
-    }
-    this->memory.update(held);
-    this->dispatcher.allow_reading(this->memory.free_bytes());
+    this->memory.update(this->dispatcher.response_bytes() + this->peers.held_bytes());
+    this->counters.set("held_bytes", static_cast<double>(this->memory.held_bytes()));
+    this->counters.set("peak_held_bytes", static_cast<double>(this->memory.peak_bytes()));
+    this->dispatcher.allow_reading(this->memory.free_bytes(), this->memory.has_room_for_response(0));
     const bool is_short = this->memory.free_bytes() == 0;
     if (is_short != this->memory_was_short)
     {
         this->memory_was_short = is_short;
         this->counters.count("memory_short_total", is_short ? "begin" : "end");
         this->events.request_event(is_short ? "memory_short" : "memory_free",
-                                   {{"held_bytes", std::to_string(held)}});
+                                   {{"held_bytes", std::to_string(this->memory.held_bytes())}});
     }
 }
 
--- a/packages/sidecar/src/sidecar_daemon_members.cpp
+++ b/packages/sidecar/src/sidecar_daemon_members.cpp
@@ -75,8 +75,8 @@
         {
             continue;
         }
-        const auto link =
-            std::make_shared<peer_link>(this->io, record, this->fleet, this->link_callbacks, this->events);
+        const auto link = std::make_shared<peer_link>(this->io, record, this->fleet, this->link_callbacks,
+                                                      this->events, &this->memory);
         this->links.emplace(id, link);
         this->router.add_link(link);
         link->start();
--- a/packages/sidecar/tests/server_connection_test.cpp
+++ b/packages/sidecar/tests/server_connection_test.cpp
@@ -1,6 +1,8 @@
 #include "laburnumreach/sidecar/server_connection.hpp"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <thread>
 
 namespace laburnumreach::sidecar
 {
@@ -36,6 +38,17 @@
     CPPUNIT_TEST(incomplete_head_closes_after_its_limit);
     CPPUNIT_TEST(caller_that_reads_nothing_is_disconnected);
     CPPUNIT_TEST(slow_caller_gets_the_whole_response);
+    CPPUNIT_TEST(pipelined_requests_that_are_answered_at_once_use_no_stack);
+    CPPUNIT_TEST(one_turn_of_the_event_loop_handles_few_requests);
+    CPPUNIT_TEST(connection_with_many_pipelined_requests_stays_open);
+    CPPUNIT_TEST(requests_wait_while_responses_are_unread);
+    CPPUNIT_TEST(pipelined_requests_wait_while_memory_is_taken);
+    CPPUNIT_TEST(body_continues_when_memory_becomes_free);
+    CPPUNIT_TEST(body_without_memory_is_refused_after_a_wait);
+    CPPUNIT_TEST(single_body_may_exceed_the_limit);
+    CPPUNIT_TEST(stalled_body_is_refused_beside_an_open_request);
+    CPPUNIT_TEST(slow_body_is_refused_while_memory_is_short);
+    CPPUNIT_TEST(closed_connection_holds_no_memory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,9 +65,7 @@
             this->requests.push_back(request);
             request->on_cancelled = [this] { ++this->cancelled; };
         };
-        tcp::acceptor acceptor{this->io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
-        this->caller.connect(acceptor.local_endpoint());
-        this->connection = std::make_shared<server_connection>(acceptor.accept(), this->context);
+        this->accept_connection();
     }
 
     /// A request and the close of the connection are both unread. The close must be detected before the
@@ -203,7 +214,241 @@
         CPPUNIT_ASSERT(total > large_body_bytes);
     }
 
+    /// A response that was made at once led back into the parser, one stack frame deeper for each request.
+    void pipelined_requests_that_are_answered_at_once_use_no_stack()
+    {
+        constexpr int count = 10'000;
+        this->answer_at_once("");
+        this->connection->start();
+        this->send_without_reading(get("/a"), count);
+        CPPUNIT_ASSERT_EQUAL(count, this->handled);
+    }
+
+    void one_turn_of_the_event_loop_handles_few_requests()
+    {
+        this->answer_at_once("");
+        this->connection->start();
+        std::string requests;
+        for (int number = 0; number < 500; ++number)
+        {
+            requests += get("/a");
+        }
+        this->send(requests);
+        int before = 0;
+        int most = 0;
+        this->io.restart();
+        while (this->io.run_one_for(20ms) > 0)
+        {
+            most = std::max(most, this->handled - before);
+            before = this->handled;
+        }
+        CPPUNIT_ASSERT_EQUAL(500, this->handled);
+        CPPUNIT_ASSERT(most <= 16);
+    }
+
+    /// A connection that was not read from for a while was destroyed with its open requests.
+    void connection_with_many_pipelined_requests_stays_open()
+    {
+        constexpr std::size_t count = 400;
+        const std::string padding = "X: " + std::string(8000, 'x') + "\r\n";
+        this->connection->start();
+        std::thread sender{[&]
+                           {
+                               for (std::size_t number = 0; number < count; ++number)
+                               {
+                                   this->send(get("/a", padding));
+                               }
+                           }};
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{64}, this->requests.size());
+        std::size_t answered = 0;
+        std::size_t total = 0;
+        for (int idle_rounds = 0; answered < count && idle_rounds < 100; ++idle_rounds)
+        {
+            for (; answered < this->requests.size(); ++answered, idle_rounds = 0)
+            {
+                this->requests[answered]->respond({.status = 200});
+                total += this->received().size();
+            }
+            this->run();
+        }
+        sender.join();
+        CPPUNIT_ASSERT_EQUAL(count, answered);
+        CPPUNIT_ASSERT(total > 0);
+        CPPUNIT_ASSERT(this->connection->is_open());
+    }
+
+    void requests_wait_while_responses_are_unread()
+    {
+        constexpr int count = 1000;
+        constexpr std::size_t response_bytes = 64 * 1024;
+        this->answer_at_once(std::string(response_bytes, 'a'));
+        this->connection->start();
+        std::string requests;
+        for (int number = 0; number < count; ++number)
+        {
+            requests += get("/a");
+        }
+        this->send(requests);
+        this->run();
+        CPPUNIT_ASSERT(this->handled < count);
+        CPPUNIT_ASSERT(this->connection->held_bytes() < 512 * 1024);
+        std::size_t total = 0;
+        for (std::string part = this->received(); !part.empty(); part = this->received())
+        {
+            total += part.size();
+            this->run();
+        }
+        CPPUNIT_ASSERT_EQUAL(count, this->handled);
+        CPPUNIT_ASSERT(total > response_bytes * count);
+    }
+
+    void pipelined_requests_wait_while_memory_is_taken()
+    {
+        this->account_memory(1024 * 1024);
+        memory_reservation other{&this->memory, memory_use::other};
+        other.resize(600 * 1024);
+        this->connection->start();
+        this->send(get("/a") + get("/b"));
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->requests.size());
+        this->requests[0]->respond({.status = 200});
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->requests.size());
+    }
+
+    void body_continues_when_memory_becomes_free()
+    {
+        this->account_memory(1024 * 1024);
+        memory_reservation other{&this->memory, memory_use::large_body};
+        other.resize(700 * 1024);
+        this->connection->start();
+        this->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" +
+                   std::string(200'000, 'b'));
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->context->waiting_for_memory.size());
+        CPPUNIT_ASSERT(this->connection->resume_after_wait(core::boot_clock::now(), true));
+        other.resize(0);
+        CPPUNIT_ASSERT(!this->connection->resume_after_wait(core::boot_clock::now(), true));
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->requests.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{200'000}, this->requests[0]->body.size());
+    }
+
+    void body_without_memory_is_refused_after_a_wait()
+    {
+        this->account_memory(1024 * 1024);
+        memory_reservation other{&this->memory, memory_use::large_body};
+        other.resize(700 * 1024);
+        this->connection->start();
+        this->send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n30000\r\n" +
+                   std::string(0x30000, 'b'));
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::string{}, this->received());
+        CPPUNIT_ASSERT(!this->connection->resume_after_wait(core::boot_clock::now() + 1s, true));
+        this->run();
+        const std::string response = this->received();
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 503"}, response.substr(0, 12));
+        CPPUNIT_ASSERT(response.find("Retry-After: ") != std::string::npos);
+        CPPUNIT_ASSERT(this->requests.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{700 * 1024}, this->memory.held_bytes() / 1024 * 1024);
+    }
+
+    /// The operators allow bodies of its size, so one alone is served.
+    void single_body_may_exceed_the_limit()
+    {
+        this->account_memory(100 * 1024);
+        this->connection->start();
+        this->send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n30000\r\n" +
+                   std::string(0x30000, 'b') + "\r\n0\r\n\r\n");
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->requests.size());
+    }
+
+    void stalled_body_is_refused_beside_an_open_request()
+    {
+        this->connection->start();
+        this->send(get("/a") + "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nb");
+        this->run();
+        this->connection->check_timeouts(core::boot_clock::now() + caller_limits{}.header_timeout + 1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->requests.size());
+        CPPUNIT_ASSERT_EQUAL(0, this->cancelled);
+        this->requests[0]->respond({.status = 200});
+        this->run();
+        const std::string responses = this->received();
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 200"}, responses.substr(0, 12));
+        CPPUNIT_ASSERT(responses.find("HTTP/1.1 408") != std::string::npos);
+    }
+
+    void slow_body_is_refused_while_memory_is_short()
+    {
+        this->connection->start();
+        this->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nb");
+        this->run();
+        this->connection->end_slow_body(core::boot_clock::now());
+        CPPUNIT_ASSERT_EQUAL(std::string{}, this->received());
+        this->connection->end_slow_body(core::boot_clock::now() + caller_limits{}.header_timeout + 1s);
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 408"}, this->received().substr(0, 12));
+    }
+
+    void closed_connection_holds_no_memory()
+    {
+        this->account_memory(1024 * 1024);
+        this->connection->start();
+        this->send(get("/a") + "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\nb");
+        this->run();
+        CPPUNIT_ASSERT(this->memory.held_bytes() > 1000);
+        this->connection->close();
+        this->requests.clear();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->memory.held_bytes());
+    }
+
 private:
+    /// Accounts for what the connection holds, and allows bodies of usual sizes.
+    void account_memory(std::size_t limit)
+    {
+        this->memory.set_limit(limit);
+        this->context->memory = &this->memory;
+        this->context->limits = [] { return caller_limits{}; };
+        this->accept_connection();
+    }
+
+    void accept_connection()
+    {
+        tcp::acceptor acceptor{this->io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
+        this->caller = tcp::socket{this->io};
+        this->caller.connect(acceptor.local_endpoint());
+        this->connection = std::make_shared<server_connection>(acceptor.accept(), this->context);
+    }
+
+    /// Responds to each request when it is handled.
+    void answer_at_once(const std::string& body)
+    {
+        this->context->handle = [this, body](const std::shared_ptr<exchange>& request)
+        {
+            ++this->handled;
+            request->respond({.status = 404, .fields = {}, .body = body});
+        };
+    }
+
+    /// Sends a request many times. The buffers of the system hold the responses.
+    void send_without_reading(const std::string& request, int count)
+    {
+        std::thread sender{[&]
+                           {
+                               for (int number = 0; number < count; ++number)
+                               {
+                                   this->send(request);
+                               }
+                           }};
+        for (int idle_rounds = 0; this->handled < count && idle_rounds < 100; ++idle_rounds)
+        {
+            this->run();
+        }
+        sender.join();
+    }
+
     /// More than the buffers of both sockets hold.
     static constexpr std::size_t large_body_bytes = 32 * 1024 * 1024;
 
@@ -239,10 +484,12 @@
         return bytes;
     }
 
+    body_memory memory{1};
     asio::io_context io;
     std::shared_ptr<server_context> context = std::make_shared<server_context>();
     std::vector<std::shared_ptr<exchange>> requests;
     int cancelled = 0;
+    int handled = 0;
     tcp::socket caller{io};
     std::shared_ptr<server_connection> connection;
 };
