--- a/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
@@ -103,6 +103,7 @@
     void on_frame(const std::shared_ptr<frame_stream>& stream, std::string& daemon_id, frame_type type,
                   std::span<const std::uint8_t> body);
     void on_dropped_call(const std::string& daemon_id, std::uint64_t call_id);
+    std::size_t max_new_connections() const;
     bool accepts_daemon(const std::string& daemon_id) const;
     void close_new_connections(core::time_point now, std::size_t most);
     void close_silent_connections(core::time_point now);
@@ -135,8 +136,8 @@
     static constexpr core::duration max_call_time = std::chrono::hours{1};
     /// Time in which a hello message must arrive.
     static constexpr core::duration hello_timeout = std::chrono::seconds{2};
-    /// Largest number of connections without a hello message; a daemon sends its own at once.
-    static constexpr std::size_t max_new_connections = 64;
+    /// Number of connections without a hello message that are accepted beside any number of daemons.
+    static constexpr std::size_t min_new_connections = 8;
     /// Largest frame before the hello message and of that message; it names all open calls.
     static constexpr std::size_t max_hello_bytes = 256 * 1024;
     /// Largest number of daemons of which calls are remembered.
--- a/packages/sidecar/src/peer_server.cpp
+++ b/packages/sidecar/src/peer_server.cpp
@@ -22,8 +22,7 @@
 void peer_server::accept(tcp::socket socket)
 {
     const core::time_point now = core::boot_clock::now();
-    const std::size_t most = std::min(max_new_connections, this->limits.max_connections);
-    this->close_new_connections(now, most - 1);
+    this->close_new_connections(now, this->max_new_connections() - 1);
     const auto stream = std::make_shared<frame_stream>(std::move(socket), this->limits.memory);
     const auto daemon_id = std::make_shared<std::string>();
     const std::weak_ptr<frame_stream> weak = stream;
@@ -51,6 +50,14 @@
         });
 }
 
+/// Returns how many connections may be without a hello message. When a fleet starts, all daemons connect at
+/// once.
+std::size_t peer_server::max_new_connections() const
+{
+    const std::size_t most = this->limits.max_connections;
+    return std::max(most - std::min(most, this->connected_sessions), min_new_connections);
+}
+
 /// Closes connections whose hello message is late, and the oldest ones above a number.
 void peer_server::close_new_connections(core::time_point now, std::size_t most)
 {
@@ -375,7 +382,7 @@
         return;
     }
     this->last_check = now;
-    this->close_new_connections(now, max_new_connections);
+    this->close_new_connections(now, this->max_new_connections());
     this->close_silent_connections(now);
     for (auto& [daemon_id, peer] : this->sessions)
     {
--- a/packages/sidecar/src/server_connection.cpp
+++ b/packages/sidecar/src/server_connection.cpp
@@ -287,6 +287,7 @@
         this->head_since = this->head_since.value_or(core::boot_clock::now());
         return false;
     }
+    this->head_since.reset();
     // The request of a connection without others is handled in any case, if only to refuse it.
     memory_reservation head_memory{this->context->memory, memory_use::pipelined};
     const bool is_pipelined = !this->open_exchanges.empty() || !this->output.idle();
@@ -305,7 +306,6 @@
     }
     this->received.consume(*size);
     this->head_scanned = 0;
-    this->head_since.reset();
     const http::body_framing framing = head->framing;
     const bool has_length = framing.type == http::body_framing::kind::length;
     if (has_length && framing.length > this->max_body_bytes())
--- a/packages/sidecar/tests/server_connection_test.cpp
+++ b/packages/sidecar/tests/server_connection_test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(connection_with_many_pipelined_requests_stays_open);
     CPPUNIT_TEST(requests_wait_while_responses_are_unread);
     CPPUNIT_TEST(pipelined_requests_wait_while_memory_is_taken);
+    CPPUNIT_TEST(request_that_waits_for_memory_meets_no_timeout);
     CPPUNIT_TEST(body_continues_when_memory_becomes_free);
     CPPUNIT_TEST(body_without_memory_is_refused_after_a_wait);
     CPPUNIT_TEST(single_body_may_exceed_the_limit);
@@ -317,6 +318,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->requests.size());
     }
 
+    /// The head arrives in two parts and then waits longer than a head may take.
+    void request_that_waits_for_memory_meets_no_timeout()
+    {
+        this->account_memory(1024 * 1024);
+        memory_reservation other{&this->memory, memory_use::other};
+        other.resize(600 * 1024);
+        this->connection->start();
+        const std::string second = get("/b");
+        this->send(get("/a") + second.substr(0, 10));
+        this->run();
+        this->send(second.substr(10));
+        this->run();
+        this->connection->check_timeouts(core::boot_clock::now() + caller_limits{}.header_timeout + 1s);
+        this->requests.at(0)->respond({.status = 200});
+        this->run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->requests.size());
+    }
+
     void body_continues_when_memory_becomes_free()
     {
         this->account_memory(1024 * 1024);
