Let callers use all connections that the process does not need

Cause: callers had five eighths of the sockets, 2,437 of 3,900, whatever the fleet needed. Now their share is what is left after two connections for each daemon, those to the instance and the other addresses. The gauge caller_connections shows the use.

Measured: 224 tests of sidecar passed; silent connections at outbound and at peers and large_chunks_without_end held.

--- a/packages/sidecar/include/laburnumreach/sidecar/http_listener.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/http_listener.hpp
@@ -31,6 +31,9 @@
     /// Closes each connection after its pending responses, and idle ones at once.
     void close_when_answered();
 
+    /// Sets the largest number of connections.
+    void set_max_connections(std::size_t count) { this->context->max_connections = count; }
+
     /// Returns the number of received requests without a response yet.
     std::size_t unanswered() const noexcept { return this->context->unanswered; }
 
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -96,6 +96,9 @@
     /// Returns the number of connections to the instance that are kept for further calls.
     std::size_t idle_connection_count() const noexcept { return this->idle_connections.size(); }
 
+    /// Returns the largest number of connections to the instance.
+    std::size_t max_connections() const { return this->usable_slots() + max_idle_connections; }
+
     /// Returns the number of calls whose handler has not been called: queued, running, or just ended.
     std::size_t open_calls() const noexcept { return this->calls.size() + this->ended_calls.size(); }
 
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -339,6 +339,9 @@
     this->last_connection_check = now;
     this->update_store_role();
     this->forget_departed_daemons(now);
+    this->outbound->set_max_connections(
+        max_caller_connections(this->connections, this->links.size(), this->dispatcher.max_connections()));
+    this->counters.set("caller_connections", static_cast<double>(this->outbound->connection_count()));
     for (std::optional<http_listener>* listener :
          {&this->outbound, &this->ready, &this->control, &this->metrics})
     {
--- a/packages/sidecar/tests/http_listener_test.cpp
+++ b/packages/sidecar/tests/http_listener_test.cpp
@@ -73,6 +73,8 @@
         CPPUNIT_ASSERT(usual.callers > 2000);
         CPPUNIT_ASSERT(usual.peers > 700);
         CPPUNIT_ASSERT(usual.callers + usual.peers + 3 * usual.each_other < 3500);
+        CPPUNIT_ASSERT(max_caller_connections(usual, 13, 300 + 64) > 3000);
+        CPPUNIT_ASSERT(max_caller_connections(usual, 700, 40 + 64) > 1900);
         const connection_limits few = divide_descriptors(64);
         CPPUNIT_ASSERT(few.callers >= 8 && few.peers >= 8 && few.each_other >= 8);
     }
