Set the gauges of held memory when they are read, and drop a dead function

The gauges of the messages held and of the callers' connections were set up to 50 times a second, with a look-up by name each; on_metrics sets them now, as it does the age of the store's last answer. request_router::held_bytes had no caller left since requests are reserved. Behaviour is the same.

--- a/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
@@ -98,9 +98,6 @@
 
     std::size_t open_calls() const noexcept { return this->calls.size(); }
 
-    /// Returns the size of the request bodies that are held.
-    std::size_t held_bytes() const;
-
     /// Sets the number of daemons in the fleet, this one included.
     void set_daemon_count(std::size_t count);
 
--- a/packages/sidecar/src/request_router.cpp
+++ b/packages/sidecar/src/request_router.cpp
@@ -152,16 +152,6 @@
                        });
 }
 
-std::size_t request_router::held_bytes() const
-{
-    std::size_t total = 0;
-    for (const auto& [id, call] : this->calls)
-    {
-        total += call.message.body.size();
-    }
-    return total;
-}
-
 void request_router::request_token(const std::string& daemon_id, const token_request_message& request)
 {
     if (peer_link* link = this->placement.find_link(daemon_id))
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -317,8 +317,6 @@
     }
     this->last_memory_check = now;
     this->memory.update(this->dispatcher.response_bytes() + this->peers.held_bytes());
-    this->counters.set("held_bytes", static_cast<double>(this->memory.held_bytes()));
-    this->counters.set("peak_held_bytes", static_cast<double>(this->memory.peak_bytes()));
     this->dispatcher.allow_reading(this->memory.free_bytes(), this->memory.has_room_for_response(0));
     const bool is_short = this->memory.free_bytes() == 0;
     if (is_short != this->memory_was_short)
@@ -341,7 +339,6 @@
     this->forget_departed_daemons(now);
     this->outbound->set_max_connections(
         max_caller_connections(this->connections, this->links.size(), this->dispatcher.max_connections()));
-    this->counters.set("caller_connections", static_cast<double>(this->outbound->connection_count()));
     for (std::optional<http_listener>* listener :
          {&this->outbound, &this->ready, &this->control, &this->metrics})
     {
@@ -499,6 +496,9 @@
         const std::chrono::duration<double> age = core::boot_clock::now() - *this->last_store_answer;
         this->counters.set("store_answer_age_seconds", age.count());
     }
+    this->counters.set("held_bytes", static_cast<double>(this->memory.held_bytes()));
+    this->counters.set("peak_held_bytes", static_cast<double>(this->memory.peak_bytes()));
+    this->counters.set("caller_connections", static_cast<double>(this->outbound->connection_count()));
     request->respond({.status = http_status::ok,
                       .fields = "Content-Type: text/plain; version=0.0.4\r\n",
                       .body = this->counters.text()});
