Refuse requests on open routes that a stopping daemon cannot finish

Cause: a request on an open route may be a nested call of a run beside the daemon, so every check of a stop left out open routes, also when nothing ran there and when no response could come in time.

Change: such a request counts as a nested call only while the instance runs something. A nested call is refused when the usual response time of its route does not fit before the end, unless its own deadline does. On the exit, a queued call starts only if a mean run fits. After the last step everything is refused.

--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -87,6 +87,9 @@
     /// Replaces options::drain_limit.
     void set_drain_limit(core::duration limit) { this->settings.drain_limit = limit; }
 
+    /// Sets when this daemon ends. From now on, a call that is expected to run for longer does not start.
+    void set_end(core::time_point end) { this->end_time = end; }
+
     /// Refuses new calls from now on.
     void refuse_new_calls() { this->refusing_new_calls = true; }
 
@@ -99,6 +102,9 @@
     /// Returns the largest number of connections to the instance.
     std::size_t max_connections() const { return this->usable_slots() + max_idle_connections; }
 
+    /// Returns the number of calls that the instance runs.
+    std::uint32_t running_calls() const noexcept { return this->running; }
+
     /// Returns the number of calls whose handler has not been called: queued, running, or just ended.
     std::size_t open_calls() const noexcept { return this->calls.size() + this->ended_calls.size(); }
 
@@ -138,6 +144,7 @@
     void start_queued();
     bool is_in_drain_time(core::time_point now) const;
     bool can_start_in_time(const waiting_call& call, core::time_point now) const;
+    bool is_expected_to_end_late(const open_call& call, core::time_point now) const;
     void post_start_queued();
     void on_result(ticket id, instance_result result);
     void finish(ticket id, reply_message reply);
@@ -172,6 +179,7 @@
     core::time_point last_check{};
     core::time_point connect_blocked_until{};
     core::duration last_queue_wait{};
+    std::optional<core::time_point> end_time; ///< Time at which this daemon ends; set while it stops.
     bool draining = false;
     bool refusing_new_calls = false;
     bool start_posted = false;
--- a/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
@@ -11,6 +11,7 @@
 #include "laburnumreach/sidecar/instance_dispatcher.hpp"
 #include "laburnumreach/sidecar/instance_placement.hpp"
 #include "laburnumreach/sidecar/load_shedder.hpp"
+#include "laburnumreach/sidecar/response_time_estimator.hpp"
 #include "laburnumreach/sidecar/retry_advice.hpp"
 #include "laburnumreach/sidecar/retry_budget.hpp"
 #include "laburnumreach/sidecar/route_demand_meter.hpp"
@@ -85,15 +86,16 @@
     /// milliseconds.
     void tick(core::time_point now);
 
-    /// Refuses new requests of callers from now on. Requests on open routes, which running requests use for
-    /// nested calls, still pass.
+    /// Refuses new requests of callers from now on. Nested calls of running requests still pass if they are
+    /// likely to end before this daemon.
     void refuse_new_calls() { this->refusing_new_calls = true; }
 
     /// Sets when this daemon ends. From now on, a request of a caller is refused if its run is likely to take
     /// longer than until then.
     void set_end(core::time_point end) { this->end_time = end; }
 
-    /// Ends all calls, since the daemon ends: with the statement that it has not run if that is certain.
+    /// Ends all calls, since the daemon ends: with the statement that it has not run if that is certain. From
+    /// now on, every request is refused.
     void end_all_calls();
 
     std::size_t open_calls() const noexcept { return this->calls.size(); }
@@ -123,7 +125,12 @@
     void start_call(const std::shared_ptr<exchange>& request, const route& matched, const customer* owner,
                     core::time_point now);
     double urgency_of(const route& matched) const;
-    bool is_likely_to_end_late(const route& matched, core::time_point now) const;
+    bool must_refuse_for_stop(const exchange& request, const route& matched, core::time_point now) const;
+    bool is_likely_to_end_late(const exchange& request, const route& matched, core::time_point now,
+                               core::duration expected) const;
+    std::optional<core::duration> response_time_of(const route& matched) const;
+    core::duration run_time_of(const route& matched) const;
+    core::time_point deadline_of(const exchange& request, const route& matched, core::time_point now) const;
     const std::string* choose_daemon(const routed_call& call) const;
     bool try_place(routed_call& call);
     void send(routed_call& call, const std::string& daemon_id);
@@ -168,7 +175,9 @@
     std::size_t daemon_count = 0; ///< Zero before it is known.
     std::uint64_t next_call_id = 1;
     std::uint64_t next_send_id = 1;
+    std::unordered_map<std::string, response_time_estimator> response_times; ///< By route name.
     bool refusing_new_calls = false;
+    bool ended = false;                       ///< All calls were ended, since this daemon ends.
     std::optional<core::time_point> end_time; ///< Time at which this daemon ends; set while it stops.
 };
 
--- a/packages/sidecar/src/instance_dispatcher.cpp
+++ b/packages/sidecar/src/instance_dispatcher.cpp
@@ -322,10 +322,23 @@
 {
     while (!this->queue.empty() && this->running < this->usable_slots())
     {
-        this->start(this->queue.pop()->key);
+        const ticket next = this->queue.pop()->key;
+        if (this->is_expected_to_end_late(this->calls.at(next), core::boot_clock::now()))
+        {
+            this->refuse(next, call_reason::daemon_stopping);
+            continue;
+        }
+        this->start(next);
     }
 }
 
+/// Returns whether a call that starts now is expected to run until this daemon has ended, which cuts it off.
+bool instance_dispatcher::is_expected_to_end_late(const open_call& call, core::time_point now) const
+{
+    return this->end_time && call.deadline > *this->end_time &&
+           now + this->expected_run_time() > *this->end_time;
+}
+
 std::shared_ptr<instance_connection> instance_dispatcher::take_connection()
 {
     const core::time_point now = core::boot_clock::now();
--- a/packages/sidecar/src/request_router.cpp
+++ b/packages/sidecar/src/request_router.cpp
@@ -95,7 +95,7 @@
                              this->retry_delay(matched->latency_objective));
         return;
     }
-    if (!matched->open && (this->refusing_new_calls || this->is_likely_to_end_late(*matched, now)))
+    if (this->must_refuse_for_stop(*request, *matched, now))
     {
         this->refuse_request(*request, http_status::unavailable, call_reason::daemon_stopping, startup_retry);
         return;
@@ -137,19 +137,66 @@
     return 1.0 - std::clamp(matched.priority / lowest_route_priority, 0.0, 1.0);
 }
 
-/// Returns whether a run of a route's request is likely to last until this daemon has ended.
-bool request_router::is_likely_to_end_late(const route& matched, core::time_point now) const
+/// Returns whether a request is refused because this daemon stops.
+///
+/// A request on an open route may be a nested call of a run on the instance beside this daemon, and nobody
+/// else could serve it. It is one of a caller if that instance runs nothing.
+bool request_router::must_refuse_for_stop(const exchange& request, const route& matched,
+                                          core::time_point now) const
 {
-    if (!this->end_time)
+    if (this->ended)
     {
-        return false;
+        return true;
+    }
+    if (matched.open && this->dispatcher.running_calls() > 0)
+    {
+        return this->refusing_new_calls &&
+               this->is_likely_to_end_late(
+                   request, matched, now,
+                   this->response_time_of(matched).value_or(matched.latency_objective));
     }
+    return this->refusing_new_calls ||
+           this->is_likely_to_end_late(request, matched, now,
+                                       std::max(this->response_time_of(matched).value_or(core::duration{}),
+                                                this->run_time_of(matched)));
+}
+
+/// Returns whether a request is likely to last until this daemon has ended.
+/// @param expected the longest likely time until its response
+bool request_router::is_likely_to_end_late(const exchange& request, const route& matched,
+                                           core::time_point now, core::duration expected) const
+{
+    return this->end_time && now + expected > *this->end_time &&
+           this->deadline_of(request, matched, now) > *this->end_time;
+}
+
+/// Returns the longest likely time until the response to a request; none if the route had no requests.
+std::optional<core::duration> request_router::response_time_of(const route& matched) const
+{
+    const auto known = this->response_times.find(matched.name);
+    return known == this->response_times.end() ? std::nullopt : known->second.upper_bound();
+}
+
+/// Returns the longest likely run time of a request; zero if nothing is known of it.
+core::duration request_router::run_time_of(const route& matched) const
+{
     constexpr int run_time_margin = 3; // Few runs take more than three times the mean.
-    return std::any_of(matched.destinations.begin(), matched.destinations.end(),
-                       [&](const weighted_service& destination) {
-                           return now + this->placement.mean_run_time(destination.service) * run_time_margin >
-                                  *this->end_time;
-                       });
+    core::duration longest{};
+    for (const weighted_service& destination : matched.destinations)
+    {
+        longest = std::max(longest, this->placement.mean_run_time(destination.service) * run_time_margin);
+    }
+    return longest;
+}
+
+/// Returns the earlier one of the caller's deadline and the route's timeout.
+core::time_point request_router::deadline_of(const exchange& request, const route& matched,
+                                             core::time_point now) const
+{
+    const core::time_point route_limit = now + matched.timeout;
+    const auto caller_ms =
+        parse_ms(http::find_header(request.head.headers, this->settings.names.deadline_ms));
+    return caller_ms ? std::min(route_limit, now + std::chrono::milliseconds{*caller_ms}) : route_limit;
 }
 
 void request_router::request_token(const std::string& daemon_id, const token_request_message& request)
@@ -190,13 +237,7 @@
     call.large_body = matched.large_body;
     call.latency_objective = matched.latency_objective;
     call.received = now;
-    const std::optional<std::uint32_t> caller_timeout_ms =
-        parse_ms(http::find_header(request->head.headers, names.deadline_ms));
-    call.deadline = now + matched.timeout;
-    if (caller_timeout_ms)
-    {
-        call.deadline = std::min(call.deadline, now + std::chrono::milliseconds{*caller_timeout_ms});
-    }
+    call.deadline = this->deadline_of(*request, matched, now);
     call.message.service = service;
     call.message.route = matched.name;
     call.message.attempt_id = http::find_header(request->head.headers, names.attempt_id);
--- a/packages/sidecar/src/request_router_outcome.cpp
+++ b/packages/sidecar/src/request_router_outcome.cpp
@@ -43,6 +43,7 @@
 
 void request_router::end_all_calls()
 {
+    this->ended = true;
     while (!this->calls.empty())
     {
         routed_call& call = this->calls.begin()->second;
@@ -58,6 +59,10 @@
     const core::duration elapsed = core::boot_clock::now() - call.received;
     this->counters.request_latency.add(to_ms(elapsed));
     this->counters.count("requests_total", outcome);
+    if (outcome != "refused" || response.status == http_status::gateway_timeout)
+    {
+        this->response_times[call.message.route].record(elapsed);
+    }
     this->by_deadline.erase({call.deadline, call.id});
     this->unplaced.erase(call.id);
     this->calls_by_send.erase(call.message.id);
--- a/packages/sidecar/src/sidecar_daemon_lifecycle.cpp
+++ b/packages/sidecar/src/sidecar_daemon_lifecycle.cpp
@@ -69,7 +69,9 @@
         return;
     }
     this->stop_requested = core::boot_clock::now();
-    this->router.set_end(*this->stop_requested + this->settings.stop_grace - stop_margin);
+    const core::time_point end = *this->stop_requested + this->settings.stop_grace - stop_margin;
+    this->router.set_end(end);
+    this->dispatcher.set_end(end);
     this->events.state_event("stopping", {{"entry_calls", std::to_string(this->router.open_calls())},
                                           {"exit_calls", std::to_string(this->dispatcher.open_calls())}});
 }
--- a/packages/sidecar/tests/instance_dispatcher_test.cpp
+++ b/packages/sidecar/tests/instance_dispatcher_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(cancellation_tells_what_becomes_of_the_call);
     CPPUNIT_TEST(deregistration_after_draining_allows_no_further_calls);
     CPPUNIT_TEST(instance_that_was_never_given_work_gets_none_when_it_leaves);
+    CPPUNIT_TEST(call_that_would_outlast_a_stop_is_not_started);
     CPPUNIT_TEST(large_responses_wait_while_memory_is_short_the_least_urgent_longest);
     CPPUNIT_TEST_SUITE_END();
 
@@ -180,6 +181,25 @@
         CPPUNIT_ASSERT(this->server.requests.empty());
     }
 
+    /// A call from another daemon that was queued here started shortly before the end and was cut off.
+    void call_that_would_outlast_a_stop_is_not_started()
+    {
+        constexpr std::size_t runs = 20;
+        this->server.on_request = [](scripted_instance::connection& peer, std::size_t number)
+        {
+            const auto timer = std::make_shared<asio::steady_timer>(peer.executor(), 100ms);
+            timer->async_wait([timer, answered = peer.shared_from_this(), number](const error_code&)
+                              { answered->send(answer("a-" + std::to_string(number))); });
+        };
+        for (std::size_t number = 1; number <= runs; ++number)
+        {
+            CPPUNIT_ASSERT(this->outcome_of("a-" + std::to_string(number)) == reply_kind::response);
+        }
+        this->dispatcher.set_end(core::boot_clock::now() + 30ms);
+        CPPUNIT_ASSERT(this->outcome_of("a-21") == reply_kind::not_started);
+        CPPUNIT_ASSERT_EQUAL(runs, this->server.requests.size());
+    }
+
     void large_responses_wait_while_memory_is_short_the_least_urgent_longest()
     {
         constexpr std::size_t body_bytes = 8 * 1024 * 1024;
--- a/packages/sidecar/tests/planned_stop_test.cpp
+++ b/packages/sidecar/tests/planned_stop_test.cpp
@@ -3,13 +3,44 @@
 #include "running_daemon.hpp"
 #include "test_bindings.hpp"
 
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
+#include <memory>
+#include <vector>
 
 namespace laburnumreach::sidecar
 {
 
 using namespace std::chrono_literals;
 
+namespace
+{
+
+/// Bindings whose configurations have a customer, and a route without a key for service "s". Only requests
+/// without a key can be nested calls.
+platform_bindings bindings_with_open_route()
+{
+    platform_bindings bindings = test_bindings();
+    bindings.decode_config =
+        [](const std::string& document) -> core::result<std::shared_ptr<const routing_config>>
+    {
+        routing_config::contents parts{.version = std::stoull(document)};
+        parts.hosts.push_back({.host = "h",
+                               .routes = {{.name = "open",
+                                           .path_prefix = "/",
+                                           .open = true,
+                                           .timeout = 20s,
+                                           .latency_objective = 1s,
+                                           .destinations = {{.service = "s"}}}}});
+        parts.customers.push_back({.owner = {.name = "c"}, .keys = {"key"}});
+        parts.health_paths["s"] = "/health";
+        return std::make_shared<const routing_config>(std::move(parts));
+    };
+    return bindings;
+}
+
+} // namespace
+
 /// Guards against requests that a stopping daemon takes on and then cuts off without a response.
 class planned_stop_test : public CppUnit::TestFixture
 {
@@ -18,6 +49,11 @@
     CPPUNIT_TEST(request_that_is_likely_to_outlast_the_grace_time_is_refused);
     CPPUNIT_TEST(late_request_on_a_kept_connection_is_not_passed_on);
     CPPUNIT_TEST(request_that_outlasts_the_grace_time_gets_a_response);
+    CPPUNIT_TEST(requests_without_a_key_are_served_or_refused_until_the_end);
+    CPPUNIT_TEST(nested_call_of_an_open_run_is_served);
+    CPPUNIT_TEST(nested_call_that_cannot_end_in_time_is_not_passed_on);
+    CPPUNIT_TEST(nested_call_with_a_deadline_before_the_end_is_passed_on);
+    CPPUNIT_TEST(request_after_the_last_call_was_ended_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -82,8 +118,177 @@
         CPPUNIT_ASSERT(this->daemon->waits_for("event=stop_cut_short entry_calls=1"));
     }
 
+    /// Requests of callers on an open route were taken for nested calls, passed on to another daemon until
+    /// the end, and then cut off while its instance ran them.
+    void requests_without_a_key_are_served_or_refused_until_the_end()
+    {
+        this->restart_with_open_route();
+        running_daemon other{other_daemon()};
+        fake_upstream other_upstream{upstream_address(other_address)};
+        this->connect(other);
+        this->begin_stop();
+        std::atomic<int> served{0};
+        std::vector<std::thread> callers;
+        for (int number = 0; number < 4; ++number)
+        {
+            callers.emplace_back([&, number] { served += this->served_while_stopping(number); });
+        }
+        this->daemon->wait_for_end();
+        this->daemon.reset(); // Closes the connections, as the end of the process does.
+        for (std::thread& caller : callers)
+        {
+            caller.join();
+        }
+        CPPUNIT_ASSERT_EQUAL(this->upstream->requests + other_upstream.requests, served.load());
+    }
+
+    void nested_call_of_an_open_run_is_served()
+    {
+        this->restart_with_open_route();
+        plain_client caller{this->daemon->settings().outbound};
+        send(caller, 4000ms, 1);
+        this->wait_for_runs(1); // On this instance, since no other one is known yet.
+        running_daemon other{other_daemon()};
+        fake_upstream other_upstream{upstream_address(other_address)};
+        this->connect(other);
+        this->begin_stop();
+        std::this_thread::sleep_for(2700ms);
+        plain_client instance{this->daemon->settings().outbound};
+        send(instance, 100ms, 2);
+        CPPUNIT_ASSERT_EQUAL(200, instance.read_status());
+        CPPUNIT_ASSERT_EQUAL(200, caller.read_status());
+    }
+
+    void nested_call_that_cannot_end_in_time_is_not_passed_on()
+    {
+        this->restart_with_open_route();
+        plain_client caller{this->daemon->settings().outbound};
+        send(caller, 15s, 1);
+        this->wait_for_runs(1); // On this instance, since no other one is known yet.
+        running_daemon other{other_daemon()};
+        fake_upstream other_upstream{upstream_address(other_address)};
+        this->connect(other);
+        this->make_responses_known_as(1500ms);
+        this->begin_stop();
+        std::this_thread::sleep_for(3600ms);
+        const int runs = this->upstream->requests + other_upstream.requests;
+        plain_client instance{this->daemon->settings().outbound};
+        send(instance, 1500ms, 2);
+        CPPUNIT_ASSERT_EQUAL(503, instance.read_status());
+        CPPUNIT_ASSERT_EQUAL(runs, this->upstream->requests + other_upstream.requests);
+    }
+
+    /// A call that ends at its deadline is not cut off by the end of the daemon.
+    void nested_call_with_a_deadline_before_the_end_is_passed_on()
+    {
+        this->restart_with_open_route();
+        plain_client caller{this->daemon->settings().outbound};
+        send(caller, 15s, 1);
+        this->wait_for_runs(1); // On this instance, since no other one is known yet.
+        running_daemon other{other_daemon()};
+        fake_upstream other_upstream{upstream_address(other_address)};
+        this->connect(other);
+        this->make_responses_known_as(1500ms);
+        this->begin_stop();
+        std::this_thread::sleep_for(2700ms);
+        plain_client instance{this->daemon->settings().outbound};
+        instance.request("POST", "/100", "X-Attempt: a-2\r\nX-Deadline: 500\r\n");
+        CPPUNIT_ASSERT_EQUAL(200, instance.read_status());
+    }
+
+    void request_after_the_last_call_was_ended_is_refused()
+    {
+        this->restart_with_open_route();
+        plain_client caller{this->daemon->settings().outbound};
+        plain_client late{this->daemon->settings().outbound};
+        send(caller, 15s, 1);
+        this->wait_for_runs(1);
+        this->begin_stop();
+        CPPUNIT_ASSERT_EQUAL(502, caller.read_status());
+        const int runs = this->upstream->requests;
+        send(late, 0ms, 2);
+        const int status = late.read_status();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(status), status == 503 || status == 0);
+        CPPUNIT_ASSERT_EQUAL(runs, this->upstream->requests.load());
+    }
+
 private:
     static constexpr unsigned address = 5;
+    static constexpr unsigned other_address = 6;
+
+    static config::endpoint upstream_address(unsigned last_number)
+    {
+        return {.address = "127.199.7." + std::to_string(last_number), .port = 7401};
+    }
+
+    static config::endpoint entry()
+    {
+        return {.address = "127.199.7." + std::to_string(address), .port = 7402};
+    }
+
+    static running_daemon::options other_daemon()
+    {
+        return {.id = "other", .address = other_address, .bindings = bindings_with_open_route()};
+    }
+
+    void restart_with_open_route()
+    {
+        this->daemon.reset();
+        this->daemon.emplace(running_daemon::options{.id = "stopping",
+                                                     .address = address,
+                                                     .bindings = bindings_with_open_route(),
+                                                     .stop_grace = 5000ms});
+        this->daemon->put_config(1, "1");
+        CPPUNIT_ASSERT(this->daemon->waits_for("event=instance_changed instance=i-1"));
+    }
+
+    void connect(running_daemon& other)
+    {
+        other.put_config(1, "1");
+        CPPUNIT_ASSERT(other.waits_for("event=instance_changed instance=i-1"));
+        this->daemon->connect_to(other);
+    }
+
+    void wait_for_runs(int count)
+    {
+        while (this->upstream->requests < count)
+        {
+            std::this_thread::sleep_for(10ms);
+        }
+    }
+
+    void make_responses_known_as(std::chrono::milliseconds run_time)
+    {
+        plain_client client{this->daemon->settings().outbound};
+        send(client, run_time, 0);
+        CPPUNIT_ASSERT_EQUAL(200, client.read_status());
+    }
+
+    /// Sends one request after the other until the daemon has ended.
+    /// @returns the number of requests that got the response of an instance
+    int served_while_stopping(int number)
+    {
+        constexpr std::chrono::milliseconds run_time = 400ms;
+        int served = 0;
+        try
+        {
+            for (;;)
+            {
+                plain_client client{entry()};
+                send(client, run_time, number);
+                const int status = client.read_status();
+                served += status == 200 ? 1 : 0;
+                if (status == 503)
+                {
+                    std::this_thread::sleep_for(20ms);
+                }
+            }
+        }
+        catch (const boost::system::system_error&)
+        {
+            return served; // The daemon has ended.
+        }
+    }
 
     static void send(plain_client& client, std::chrono::milliseconds run_time, int number)
     {
--- a/packages/sidecar/tests/running_daemon.hpp
+++ b/packages/sidecar/tests/running_daemon.hpp
@@ -48,6 +48,9 @@
         }
     }
 
+    /// Waits until the daemon has ended after begin_stop().
+    void wait_for_end() { this->thread.join(); }
+
     const std::string& id() const { return this->daemon.own_record().daemon_id; }
 
     const config::sidecar_settings& settings() const { return this->daemon.active_settings(); }
