Keep the unspent tokens of a daemon within its share, wherever they are

Cause: shares added up to the limit, but tokens in pools belonged to no share. A daemon refilled its bucket to the full share while a pool held what it had deposited; each side of a partition filled a pool of its own, and a pool that was no longer in use kept its tokens.

Change: each daemon keeps a part of its share and lends the other to one account, at one pool daemon at a time. The account has a limit, and a lease of 1.5 s that probes renew; the lender counts it as closed when that is confirmed or after 2.8 s. Refill is deposited before it is due and becomes available at the rate of the share, so that pools need no balances and a busy daemon gets the refill of idle ones without delay. A restarted process assumes an account of the earlier one; a customer that is added again has its former bucket.

--- a/packages/sidecar/tests/customer_admission_test.cpp
+++ b/packages/sidecar/tests/customer_admission_test.cpp
@@ -18,15 +18,18 @@
 constexpr core::duration step = 10ms;
 constexpr double rate = 50;
 constexpr double burst = 50;
+/// Burst of three seconds, of which pools hold much.
+constexpr double large_burst = 150;
 
 /// Daemons that share one customer's limit. A message takes one step. Each daemon reports every half second,
 /// at staggered times, and requests arrive at random.
 class admission_fleet
 {
 public:
-    explicit admission_fleet(std::size_t count)
+    explicit admission_fleet(std::size_t count, double customer_burst = burst)
     {
-        const std::vector<customer> customers{{.name = "c", .rate_per_second = rate, .burst = burst}};
+        const std::vector<customer> customers{
+            {.name = "c", .rate_per_second = rate, .burst = customer_burst}};
         for (std::size_t index = 0; index < count; ++index)
         {
             const std::string name = std::to_string(index);
@@ -61,6 +64,13 @@
         this->partitions.emplace_back(first, last);
     }
 
+    /// Cuts the first daemons off from the others.
+    void connect_two_sides(std::size_t count)
+    {
+        this->connect(count, this->nodes.size());
+        this->connect(0, count);
+    }
+
     /// Simulates the fleet for a time.
     /// @param per_second requests per second, summed over the daemons
     /// @param daemons number of daemons at which requests arrive; zero for all
@@ -133,7 +143,7 @@
             if (this->can_reach(request.from, request.to))
             {
                 this->nodes[request.from]->on_token_grant(
-                    this->nodes[request.to]->on_token_request(request.message));
+                    this->nodes[request.to]->on_token_request(request.message, this->now));
             }
         }
     }
@@ -145,7 +155,12 @@
             if (to != from && this->can_reach(from, to))
             {
                 this->nodes[to]->record_demand(this->names[from], this->nodes[from]->demand(), this->now);
-                this->nodes[to]->deposit(this->nodes[from]->take_surplus(this->names[to], this->now));
+                this->nodes[from]->on_closed_accounts(
+                    this->names[to],
+                    this->nodes[to]->on_deposits(this->names[from], 1,
+                                                 this->nodes[from]->take_deposits(this->names[to], this->now),
+                                                 this->now),
+                    this->now);
             }
         }
     }
@@ -175,6 +190,8 @@
     CPPUNIT_TEST(demand_within_the_limit_is_served_where_it_arrives);
     CPPUNIT_TEST(demand_far_over_the_limit_gets_the_limit);
     CPPUNIT_TEST(partitions_together_stay_within_the_limit);
+    CPPUNIT_TEST(repeated_partitions_stay_within_the_limit);
+    CPPUNIT_TEST(demand_within_the_limit_is_served_during_a_partition);
     CPPUNIT_TEST(unresponsive_pool_daemon_refuses_within_the_timeout);
     CPPUNIT_TEST(refusal_is_forgotten_with_its_customer);
     CPPUNIT_TEST_SUITE_END();
@@ -221,6 +238,34 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(max_admitted), max_admitted <= max_allowed);
     }
 
+    /// Each side of a partition filled a pool up to the whole burst, and the former pool kept its tokens, so
+    /// that a customer got its burst twice when it became busy.
+    void repeated_partitions_stay_within_the_limit()
+    {
+        admission_fleet fleet{3, large_burst};
+        fleet.run(8s, 0.1 * rate);
+        for (std::size_t cut_off = 1; cut_off <= 2; ++cut_off)
+        {
+            fleet.connect_two_sides(cut_off);
+            fleet.run(7s, 0.1 * rate);
+            fleet.run(6s, 8 * rate);
+            fleet.connect(0, 3);
+            fleet.run(10s, 0.1 * rate);
+        }
+        const int max_admitted = fleet.max_admitted_in_window();
+        constexpr int allowed = static_cast<int>((5 * rate + large_burst) * 1.1) + 20;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(max_admitted), max_admitted <= allowed);
+    }
+
+    void demand_within_the_limit_is_served_during_a_partition()
+    {
+        admission_fleet fleet{3, large_burst};
+        fleet.run(8s, 0.8 * rate);
+        fleet.connect_two_sides(1);
+        const double admitted_share = fleet.run(10s, 0.8 * rate);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(admitted_share), admitted_share > 0.98);
+    }
+
     void unresponsive_pool_daemon_refuses_within_the_timeout()
     {
         int sent = 0;
