Take a response for whole only if its framing, the read and the write agree

The system reports a reset once; the write of the request took it, nothing looked at the result of the write, and the read saw a regular end.

Change: judge_response() decides from the framing, the state of the read and that of the write; while the write goes on, the end of a body without a length is undecided. A 101 is no answer. Along the class: the clients of the store, of the old daemon's store and of laburnumctl are cpp-httplib, which takes any end of the connection for the end of a body and lets malformed field names pass; core::has_definite_end() refuses these responses.

Measured on the untouched: response_end_test::reset_during_an_upload_is_no_regular_end and ..::response_cut_at_any_byte_is_complete_only_by_its_framing, store_client_test::malformed_responses_are_failures and http_object_store_test::a_malformed_response_is_a_failure failed; the last two stop at their first row there, a body without a length. What held already: a status of 000 and field names with a blank or a control byte, of instances (response_end_test::invalid_heads_are_no_response) and for the old daemon (new rows of bad_response_test). All pass now. The check in laburnumctl has no test of its own.

--- a/packages/ctl/src/admin_client.cpp
+++ b/packages/ctl/src/admin_client.cpp
@@ -1,5 +1,7 @@
 #include "laburnumreach/ctl/admin_client.hpp"
 
+#include "laburnumreach/core/response_framing.hpp"
+
 #include <httplib.h>
 
 namespace laburnumreach::ctl
@@ -20,6 +22,11 @@
                                 config::to_string(daemon) +
                                     " did not answer: " + httplib::to_string(response.error()));
     }
+    if (!core::has_definite_end(response->status, response->headers))
+    {
+        return core::make_error(core::error_code::unavailable,
+                                config::to_string(daemon) + " sent a malformed response");
+    }
     if (response->status == 404)
     {
         return core::make_error(core::error_code::not_found,
--- a/packages/platform/tests/http_object_store_test.cpp
+++ b/packages/platform/tests/http_object_store_test.cpp
@@ -1,5 +1,6 @@
 #include "laburnumreach/platform/http_object_store.hpp"
 #include "object_server.hpp"
+#include "scripted_peer.hpp"
 #include "store_contract.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -67,6 +68,7 @@
     CPPUNIT_TEST(names_itself_in_headers);
     CPPUNIT_TEST(status_codes_have_their_errors);
     CPPUNIT_TEST(a_damaged_answer_to_a_write_leaves_its_fate_unknown);
+    CPPUNIT_TEST(a_malformed_response_is_a_failure);
     CPPUNIT_TEST(a_silent_platform_leaves_only_writes_unknown);
     CPPUNIT_TEST(a_refused_connection_has_no_effect);
     CPPUNIT_TEST(a_watch_is_interrupted);
@@ -119,6 +121,32 @@
         CPPUNIT_ASSERT(store.get("x").has_value());
     }
 
+    /// A response without a definite end, or with a malformed head, counted as the platform's answer.
+    void a_malformed_response_is_a_failure()
+    {
+        const std::string body = R"({"name":"x","version":1,"value":"v"})";
+        const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        const std::string ok = "HTTP/1.1 200 OK\r\n";
+        const std::string end = "\r\n" + body;
+        for (const std::string& text :
+             {ok + end, "HTTP/1.1 000 Odd\r\n" + length + end, ok + "Content Length: 5\r\n" + end,
+              ok + "X Y: a\r\n" + length + end, ok + "X\x01Y: a\r\n" + length + end,
+              ok + length + "Content-Length: 2\r\n" + end})
+        {
+            http::scripted_peer peer{[&text](http::scripted_peer& platform, int descriptor, int)
+                                     {
+                                         platform.receive_request(descriptor);
+                                         http::scripted_peer::send(descriptor, text);
+                                     }};
+            auto store = connect(peer.served_endpoint().port);
+            const auto read = store.get("x");
+            CPPUNIT_ASSERT_MESSAGE(text, !read && read.error().code == core::error_code::unavailable);
+            const auto written = store.put_if("x", std::nullopt, "1");
+            CPPUNIT_ASSERT_MESSAGE(text,
+                                   !written && written.error().code == core::error_code::outcome_unknown);
+        }
+    }
+
     void a_silent_platform_leaves_only_writes_unknown()
     {
         const silent_listener listener;
--- a/packages/sidecar/include/laburnumreach/sidecar/http_status.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/http_status.hpp
@@ -5,6 +5,7 @@
 namespace laburnumreach::sidecar::http_status
 {
 
+inline constexpr int switching_protocols = 101;
 inline constexpr int ok = 200;
 inline constexpr int no_content = 204;
 inline constexpr int bad_request = 400;
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_connection.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_connection.hpp
@@ -7,6 +7,7 @@
 #include "laburnumreach/sidecar/asio.hpp"
 #include "laburnumreach/sidecar/read_allowance.hpp"
 #include "laburnumreach/sidecar/receive_buffer.hpp"
+#include "laburnumreach/sidecar/response_end.hpp"
 #include "laburnumreach/sidecar/send_queue.hpp"
 
 #include <functional>
@@ -97,9 +98,12 @@
     void send();
     void wait_readable();
     void on_readable(const error_code& error);
-    void parse(bool closed);
+    void on_written(const error_code& error);
+    void parse();
     bool parse_head();
-    bool parse_body(bool closed);
+    bool parse_body();
+    void decode_body();
+    void finish_complete();
     bool store_body(std::string_view bytes);
     bool count_skipped(std::size_t bytes);
     bool must_wait() const;
@@ -124,6 +128,8 @@
     bool skipped_stale = false; ///< A response to another request came before the one to the current request.
     std::size_t requests_sent = 0;
     bool connected = false;
+    request_write write_state = request_write::done;
+    receive_result read_state = receive_result::open; ///< Result of the last read.
     bool reading = false;
     bool preferred = false; ///< Reads on even if the allowance is used up.
     bool keep_open = false;
--- a/packages/sidecar/src/instance_connection.cpp
+++ b/packages/sidecar/src/instance_connection.cpp
@@ -1,6 +1,7 @@
 #include "laburnumreach/sidecar/instance_connection.hpp"
 
 #include "laburnumreach/sidecar/body_memory.hpp"
+#include "laburnumreach/sidecar/http_status.hpp"
 
 #include <algorithm>
 #include <array>
@@ -43,6 +44,12 @@
     return std::chrono::seconds{seconds};
 }
 
+/// Describes why a response ended early.
+std::string end_detail(receive_result connection)
+{
+    return connection == receive_result::closed ? "closed early" : "connection reset";
+}
+
 } // namespace
 
 instance_connection::instance_connection(asio::io_context& context, options initial_settings)
@@ -111,11 +118,22 @@
 void instance_connection::send()
 {
     this->output.add(std::exchange(this->request_bytes, {}));
-    // A send error also shows on reading, where a response that arrived before it can still be read.
-    this->output.flush(this->socket, this->shared_from_this(), [](const error_code&) {});
+    this->write_state = request_write::in_progress;
+    this->output.flush(this->socket, this->shared_from_this(),
+                       [this](const error_code& error) { this->on_written(error); });
     this->wait_readable();
 }
 
+/// A response that arrived before an error can still be read.
+void instance_connection::on_written(const error_code& error)
+{
+    this->write_state = error ? request_write::failed : request_write::done;
+    if (this->on_result && this->read_state != receive_result::open)
+    {
+        this->parse(); // The end of the response was undecided.
+    }
+}
+
 void instance_connection::watch_idle()
 {
     this->idle_since = core::boot_clock::now();
@@ -124,7 +142,8 @@
 
 void instance_connection::wait_readable()
 {
-    if (this->reading || !this->socket.is_open() || this->must_wait())
+    if (this->reading || !this->socket.is_open() || this->must_wait() ||
+        this->read_state != receive_result::open)
     {
         return;
     }
@@ -163,36 +182,30 @@
     {
         return;
     }
-    const receive_result status = this->received.receive(this->socket);
+    this->read_state = this->received.receive(this->socket);
     if (!this->on_result)
     {
         this->close(); // The idle connection was closed or got unexpected bytes.
         return;
     }
-    this->parse(status == receive_result::closed);
-    if (!this->on_result)
-    {
-        return;
-    }
-    if (status != receive_result::open)
-    {
-        this->finish(instance_outcome::broken,
-                     status == receive_result::closed ? "closed early" : "connection reset");
-        return;
-    }
+    this->parse();
     this->wait_readable();
 }
 
-void instance_connection::parse(bool closed)
+void instance_connection::parse()
 {
     while (this->on_result)
     {
-        const bool progressed = this->decoder ? this->parse_body(closed) : this->parse_head();
+        const bool progressed = this->decoder ? this->parse_body() : this->parse_head();
         if (!progressed)
         {
-            return;
+            break;
         }
     }
+    if (this->on_result && !this->decoder && this->read_state != receive_result::open)
+    {
+        this->finish(instance_outcome::broken, end_detail(this->read_state));
+    }
 }
 
 bool instance_connection::parse_head()
@@ -221,6 +234,11 @@
         return false;
     }
     constexpr int first_final_status = 200;
+    if (head->status == http_status::switching_protocols)
+    {
+        this->finish(instance_outcome::broken, "malformed response"); // No request asks for it.
+        return false;
+    }
     if (head->status < first_final_status)
     {
         return this->count_skipped(*size);
@@ -273,51 +291,72 @@
 }
 
 /// Reads the body of the current response.
-bool instance_connection::parse_body(bool closed)
+/// @returns whether a further response may follow in the received bytes
+bool instance_connection::parse_body()
 {
-    const bool until_close = this->result.head.framing.type == http::body_framing::kind::until_close;
-    if (until_close)
+    this->decode_body();
+    if (!this->on_result)
     {
-        const bool stored = this->store_body(this->received.view());
-        this->received.consume(this->received.view().size());
-        if (stored && closed)
-        {
-            this->finish(this->is_stale ? instance_outcome::broken : instance_outcome::complete,
-                         this->is_stale ? "response to another request" : "");
-        }
+        return false; // Too many bytes.
+    }
+    switch (judge_response(this->result.head.framing.type, this->decoder->status(), this->read_state,
+                           this->write_state))
+    {
+    case response_state::reading:
+    case response_state::undecided:
+        return false;
+    case response_state::incomplete:
+        this->finish(instance_outcome::broken, this->decoder->status() == http::body_decoder::state::malformed
+                                                   ? "malformed body"
+                                                   : end_detail(this->read_state));
+        return false;
+    case response_state::complete:
+        break;
+    }
+    if (!this->is_stale)
+    {
+        this->finish_complete();
+        return false;
+    }
+    if (this->result.head.framing.type == http::body_framing::kind::until_close)
+    {
+        this->finish(instance_outcome::broken, "response to another request");
         return false;
     }
+    this->decoder.reset();
+    this->skipped_stale = true;
+    return true; // The response to the current request follows.
+}
+
+/// Moves received bytes of the current response to its body.
+void instance_connection::decode_body()
+{
+    if (this->result.head.framing.type == http::body_framing::kind::until_close)
+    {
+        this->store_body(this->received.view());
+        this->received.consume(this->received.view().size());
+        return;
+    }
     std::array<char, 16 * 1024> block;
     while (this->decoder->status() == http::body_decoder::state::reading)
     {
         const auto step = this->decoder->decode(this->received.view(), block);
         this->received.consume(step.consumed);
-        if (!this->store_body({block.data(), step.produced}))
-        {
-            return false;
-        }
-        if (step.consumed == 0 && step.produced == 0)
+        if (!this->store_body({block.data(), step.produced}) || (step.consumed == 0 && step.produced == 0))
         {
-            return false;
+            return;
         }
     }
-    if (this->decoder->status() == http::body_decoder::state::malformed)
-    {
-        this->finish(instance_outcome::broken, "malformed body");
-        return false;
-    }
+}
+
+void instance_connection::finish_complete()
+{
     this->decoder.reset();
-    if (this->is_stale)
-    {
-        this->skipped_stale = true;
-        return true; // The response to the current request follows.
-    }
     this->update_idle_limit();
     // Bytes that nobody asked for show that the two sides may count the responses differently.
-    this->keep_open =
-        this->result.head.keep_alive && this->received.empty() && !closed && !this->skipped_stale;
+    this->keep_open = this->result.head.keep_alive && this->received.empty() &&
+                      this->read_state == receive_result::open && !this->skipped_stale;
     this->finish(instance_outcome::complete, "");
-    return false;
 }
 
 void instance_connection::update_idle_limit()
