Let the clock of a token bucket only go forward

Found in reading the change of the limits: a caller may pass a time that was taken a little before that of the last refill. std::clamp is undefined then, and refill that was already counted would be counted again in a pool. No failure was seen.

--- a/packages/sidecar/src/customer_limiter.cpp
+++ b/packages/sidecar/src/customer_limiter.cpp
@@ -59,12 +59,14 @@
 /// Adds the refill since the last call, without that of the lent time.
 void customer_limiter::refill(customer_bucket& bucket, core::time_point now) const
 {
-    const core::time_point lent_from = std::clamp(bucket.lent_from, bucket.last_refill, now);
-    const core::time_point lent_until = std::clamp(bucket.lent_until, lent_from, now);
-    const core::duration own_time = now - bucket.last_refill - (lent_until - lent_from);
+    const core::time_point end =
+        std::max(now, bucket.last_refill); // The caller's time may be a little older.
+    const core::time_point lent_from = std::clamp(bucket.lent_from, bucket.last_refill, end);
+    const core::time_point lent_until = std::clamp(bucket.lent_until, lent_from, end);
+    const core::duration own_time = end - bucket.last_refill - (lent_until - lent_from);
     bucket.tokens += core::to_seconds(own_time) * bucket.rate * this->share();
     bucket.tokens = std::min(bucket.tokens, this->max_tokens(bucket));
-    bucket.last_refill = now;
+    bucket.last_refill = end;
 }
 
 /// Returns the maximum number of tokens that this daemon may hold. If it does not lend, it may hold one in
--- a/packages/sidecar/src/customer_token_pool.cpp
+++ b/packages/sidecar/src/customer_token_pool.cpp
@@ -152,11 +152,12 @@
     pool.total = 0;
     for (auto& [daemon, entry] : pool.accounts)
     {
-        const double due = pool.limits.refill_rate * core::to_seconds(now - entry.released);
+        const core::duration elapsed = std::max(core::duration{}, now - entry.released);
+        const double due = pool.limits.refill_rate * core::to_seconds(elapsed);
         const double released = std::min(entry.pending, due);
         entry.pending -= released;
         entry.balance += released;
-        entry.released = now;
+        entry.released += elapsed;
         pool.total += entry.balance;
     }
 }
