--- a/packages/platform/tests/http_object_store_test.cpp
+++ b/packages/platform/tests/http_object_store_test.cpp
@@ -125,14 +125,14 @@
     void a_malformed_response_is_a_failure()
     {
         const std::string body = R"({"name":"x","version":1,"value":"v"})";
-        const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
-        const std::string ok = "HTTP/1.1 200 OK\r\n";
-        const std::string end = "\r\n" + body;
-        for (const std::string& text :
-             {ok + end, "HTTP/1.1 000 Odd\r\n" + length + end, ok + "Content Length: 5\r\n" + end,
-              ok + "X Y: a\r\n" + length + end, ok + "X\x01Y: a\r\n" + length + end,
-              ok + length + "Content-Length: 2\r\n" + end})
+        CPPUNIT_ASSERT_EQUAL(std::size_t{36}, body.size());
+        for (std::string text : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 000 Odd\r\nContent-Length: 36\r\n",
+                                 "HTTP/1.1 200 OK\r\nContent Length: 5\r\n",
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 36\r\nX Y: a\r\n",
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 36\r\nX\x01Y: a\r\n",
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 36\r\nContent-Length: 2\r\n"})
         {
+            text.append("\r\n").append(body);
             http::scripted_peer peer{[&text](http::scripted_peer& platform, int descriptor, int)
                                      {
                                          platform.receive_request(descriptor);
--- a/packages/sidecar/tests/planned_stop_test.cpp
+++ b/packages/sidecar/tests/planned_stop_test.cpp
@@ -128,8 +128,10 @@
         this->connect(other);
         this->begin_stop();
         std::atomic<int> served{0};
+        constexpr int caller_count = 4;
         std::vector<std::thread> callers;
-        for (int number = 0; number < 4; ++number)
+        callers.reserve(caller_count);
+        for (int number = 0; number < caller_count; ++number)
         {
             callers.emplace_back([&, number] { served += this->served_while_stopping(number); });
         }
