Take the lent shares of customers back: they refuse customers in a partition

Cause: a daemon whose share of a burst is below 2.5 tokens lends all of it. While the account is at a pool daemon that is out of reach, for up to 2.8 s, it has nothing, and the new pool daemon gets nothing. On 90 daemons most customers are in that case when a zone is cut off.

demand_within_the_limit_is_served_during_a_partition stays as a test for what a mend must not spoil.

--- a/packages/core/include/laburnumreach/core/time.hpp
+++ b/packages/core/include/laburnumreach/core/time.hpp
@@ -17,12 +17,6 @@
     return std::chrono::duration<double>(value).count();
 }
 
-/// Returns a number of seconds as a duration.
-inline duration from_seconds(double seconds)
-{
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
-}
-
 /// Returns a duration as a number of whole milliseconds, for the log.
 inline std::string milliseconds_text(duration value)
 {
--- a/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/customer_limiter.hpp
@@ -38,8 +38,7 @@
 /// Deterministic.
 ///
 /// All daemons have equal shares, whether they can reach each other or not, so the shares add up to the limit
-/// during network partitions too. customer_admission moves tokens to the daemons at which requests arrive:
-/// while a daemon lends, a pool holds a fixed part of its share, and this daemon at most the rest.
+/// during network partitions too. customer_admission moves tokens to the daemons at which requests arrive.
 class customer_limiter
 {
 public:
@@ -86,23 +85,14 @@
         }
     }
 
-    /// Lends this daemon's unused tokens and its next refill: those that it does not need to fill the part of
-    /// the share that it keeps. From now on the other part is held by the pool.
-    /// @returns what to deposit in the pool; nothing if it is too little to be worth a transfer
-    token_deposit lend(const std::string& name, core::time_point now);
+    /// Removes and returns the tokens beyond those that this daemon keeps for itself.
+    double take_surplus(const std::string& name, core::time_point now);
 
-    /// Records that the pool may hold the lent part of this daemon's share of a customer, or no longer does.
-    void set_lending(const std::string& name, bool lends, core::time_point now);
+    /// Returns the capacity of a customer's token pool.
+    double pool_capacity(const std::string& name) const;
 
-    /// Returns the maximum number of tokens of one daemon's share that a pool holds; zero for customers
-    /// without a limit.
-    double lent_share(const std::string& name) const;
-
-    /// Returns one daemon's share of the rate, in tokens per second; zero for customers without a limit.
-    double rate_share(const std::string& name) const;
-
-    /// Returns the fraction of the tokens that the least urgent requests must leave.
-    double reserve_fraction(const std::string& name) const;
+    /// Returns the number of pooled tokens that the least urgent requests must leave.
+    double pool_reserve(const std::string& name) const;
 
     /// Returns the demand at this daemon, measured over the last second.
     std::vector<customer_demand> demand() const;
@@ -112,12 +102,9 @@
 
 private:
     /// Fraction of a daemon's share of the burst that the daemon keeps; the rest goes to the token pool.
-    static constexpr double kept_fraction = 0.4;
+    static constexpr double kept_fraction = 0.5;
     /// Minimum number of tokens that is worth transferring.
-    static constexpr double min_deposit = 0.02;
-    /// Time for which refill is lent; longer than the interval of the deposits, so that no refill is lost.
-    static constexpr core::duration min_lent_time = std::chrono::milliseconds{550};
-    static constexpr core::duration max_lent_time = std::chrono::hours{1};
+    static constexpr double min_surplus = 0.02;
     /// Time between two measurements of the demand.
     static constexpr core::duration measurement_interval = std::chrono::milliseconds{200};
 
@@ -127,13 +114,10 @@
         double rate = 0;  ///< Limit of the whole fleet, tokens per second.
         double burst = 0; ///< Limit of the whole fleet, tokens.
         double tokens = 0;
-        bool lends = false; ///< A pool may hold the lent part of this daemon's share.
         core::time_point last_refill{};
-        core::time_point lent_from{};  ///< Start of the time whose refill is lent.
-        core::time_point lent_until{}; ///< End of that time.
-        double arrivals = 0;           ///< Since the last measurement.
-        double demand = 0;             ///< Requests per second.
-        double reserve = 0;            ///< Fraction of the tokens that the least urgent requests must leave.
+        double arrivals = 0; ///< Since the last measurement.
+        double demand = 0;   ///< Requests per second.
+        double reserve = 0;  ///< Fraction of the tokens that the least urgent requests must leave.
     };
 
     /// The last demand report of another daemon.
@@ -144,8 +128,6 @@
     };
 
     void refill(customer_bucket& bucket, core::time_point now) const;
-    double max_tokens(const customer_bucket& bucket) const;
-    double lend_refill(customer_bucket& bucket, core::time_point now) const;
     double share() const { return 1.0 / static_cast<double>(this->daemons); }
     double total_demand(const std::string& name, const customer_bucket& bucket, core::time_point now) const;
     double reserve_of(const customer_bucket& bucket, double demand) const;
@@ -153,9 +135,6 @@
 
     customer_limiter_options options;
     std::unordered_map<std::string, customer_bucket> buckets;
-    /// Buckets of customers that were taken out of the configuration, so that one that is added again has no
-    /// second burst.
-    std::unordered_map<std::string, customer_bucket> former_buckets;
     std::map<std::string, daemon_report> reports; ///< By daemon.
     std::size_t daemons;
     core::time_point last_measurement{};
--- a/packages/sidecar/include/laburnumreach/sidecar/customer_token_pool.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/customer_token_pool.hpp
@@ -1,9 +1,7 @@
 #ifndef LABURNUMREACH_SIDECAR_CUSTOMER_TOKEN_POOL_HPP
 #define LABURNUMREACH_SIDECAR_CUSTOMER_TOKEN_POOL_HPP
 
-#include "laburnumreach/core/time.hpp"
-#include "laburnumreach/sidecar/peer_messages.hpp"
-
+#include <algorithm>
 #include <string>
 #include <unordered_map>
 
@@ -12,94 +10,41 @@
 
 /// Unused tokens of customers, pooled for daemons whose own share is used up. Deterministic.
 ///
-/// Tokens are only transferred, never created. Each daemon that deposits tokens of a customer has an account
-/// with a limited balance, since a token in the pool takes up room in that daemon's share of the burst. A
-/// withdrawal reduces all balances in proportion. The accounts of a daemon end with its process, and when no
-/// message of it arrives for the lease time.
+/// Tokens are only transferred, never created: each token in a pool was refilled in the share of some daemon.
+/// So the limits hold for any number of pools and in any network partition.
 class customer_token_pool
 {
 public:
-    /// Limits of each account of one customer: a daemon's share of the customer's limits.
-    struct account_limits
+    /// Adds tokens; tokens beyond the capacity are lost.
+    void deposit(const std::string& customer, double tokens, double capacity)
     {
-        double balance = 0;     ///< Maximum number of tokens, future refill included.
-        double refill_rate = 0; ///< Rate at which future refill becomes available, tokens per second.
-    };
-
-    /// Records a message of a process of a daemon, which renews the lease of its accounts. Those of an
-    /// earlier process are closed.
-    void record_contact(const std::string& daemon, std::uint64_t started_ms, core::time_point now);
-
-    /// Sets the limits of a customer's accounts, and applies them to those that are open.
-    void set_limits(const std::string& customer, const account_limits& limits);
-
-    /// Adds to the account of a daemon, and opens it if there is none. Tokens beyond its limit are lost.
-    /// Ignores customers without limits.
-    void deposit(const std::string& daemon, const token_deposit& entry, core::time_point now);
-
-    /// Closes an account. Its tokens are lost.
-    void close(const std::string& customer, const std::string& daemon);
+        double& pooled = this->tokens[customer];
+        pooled = std::min(pooled + tokens, capacity);
+    }
 
     /// Takes one token.
     /// @param reserve number of tokens that must remain for more urgent requests
     /// @returns false when no token can be taken
-    bool withdraw(const std::string& customer, double reserve, core::time_point now);
-
-    /// Returns the maximum number of tokens that the open accounts of a customer can hold.
-    double capacity(const std::string& customer) const;
-
-    /// Closes the accounts whose lease has ended.
-    void expire(core::time_point now);
+    bool withdraw(const std::string& customer, double reserve)
+    {
+        const auto found = this->tokens.find(customer);
+        if (found == this->tokens.end() || found->second < 1.0 + reserve)
+        {
+            return false;
+        }
+        found->second -= 1.0;
+        return true;
+    }
 
-    /// Closes the accounts of the customers whose name satisfies the predicate.
+    /// Removes the tokens of the customers whose name satisfies the predicate.
     template <typename Predicate>
     void remove_if(Predicate removed)
     {
-        std::erase_if(this->customers, [&](const auto& entry) { return removed(entry.first); });
+        std::erase_if(this->tokens, [&](const auto& entry) { return removed(entry.first); });
     }
 
-    /// Closes all accounts.
-    void clear() { this->customers.clear(); }
-
-    /// Time without a message of a daemon after which its accounts are closed; three probes.
-    static constexpr core::duration lease_time = std::chrono::milliseconds{1500};
-
 private:
-    /// Tokens that one daemon deposited.
-    struct account
-    {
-        double balance = 0;          ///< Tokens, less the account's part of customer_pool::withdrawn.
-        double pending = 0;          ///< Future refill that is not available yet.
-        core::time_point released{}; ///< Time up to which refill has been made available.
-    };
-
-    /// Tokens of one customer.
-    struct customer_pool
-    {
-        account_limits limits;
-        double total = 0;     ///< Sum of the balances.
-        double withdrawn = 0; ///< Not yet subtracted from the balances, so that a withdrawal costs little.
-        core::time_point last_update{};
-        std::unordered_map<std::string, account> accounts; ///< By daemon.
-    };
-
-    /// The process that sent the last message.
-    struct contact
-    {
-        std::uint64_t started_ms = 0;
-        core::time_point last{};
-    };
-
-    /// Maximum age of the balances at a withdrawal.
-    static constexpr core::duration update_interval = std::chrono::milliseconds{10};
-
-    void close_accounts_of(const std::string& daemon);
-    static void subtract_withdrawn(customer_pool& pool);
-    static void release_refill(customer_pool& pool, core::time_point now);
-
-    std::unordered_map<std::string, customer_pool> customers;
-    std::unordered_map<std::string, contact> contacts; ///< By daemon.
-    core::time_point last_expiry{};
+    std::unordered_map<std::string, double> tokens; ///< By customer.
 };
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
@@ -29,9 +29,7 @@
     std::function<std::optional<demand_report>(const std::string& zone)> demand_report_for;
     std::function<bool()> store_works;
     /// Returns the tokens to transfer to a daemon with a probe.
-    std::function<std::vector<token_deposit>(const std::string& daemon_id)> take_deposits;
-    std::function<void(const std::string& daemon_id, const std::vector<std::string>& customers)>
-        on_closed_accounts;
+    std::function<std::vector<customer_tokens>(const std::string& daemon_id)> take_tokens_for;
     std::function<void(const token_grant_message&)> on_token_grant;
 };
 
@@ -57,9 +55,6 @@
     /// Returns whether the other daemon announced at least `time` ago that it leaves, and is not connected.
     bool has_left_for(core::duration time, core::time_point now) const;
 
-    /// Returns whether the other daemon announced that it leaves.
-    bool has_left() const noexcept { return this->left_since.has_value(); }
-
     /// Returns whether calls sent to the other daemon have no reply yet.
     bool has_open_calls() const noexcept { return !this->open_calls.empty(); }
 
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
@@ -129,13 +129,11 @@
     double rate = 0;       ///< Requests per second.
 };
 
-/// Unused rate limit tokens of a customer that one daemon transfers to its account at another.
-struct token_deposit
+/// Unused rate limit tokens of a customer that one daemon transfers to another.
+struct customer_tokens
 {
     std::string customer;
     double tokens = 0;
-    double refill = 0;   ///< Future refill of the sender, which becomes available at the rate of its share.
-    bool closes = false; ///< The account is closed, and the sender deposits at another daemon.
 };
 
 /// Asks the pool daemon of a customer for a rate limit token.
@@ -153,10 +151,6 @@
     bool granted = false;
 };
 
-/// Maximum age of a message between daemons that is handled: a receiver ends a connection unread when bytes
-/// follow a longer silence, and probes are sent at a shorter interval.
-inline constexpr core::duration max_message_age = std::chrono::milliseconds{1200};
-
 /// Reported demand older than this is ignored. Reports are sent twice a second.
 inline constexpr core::duration max_demand_age = std::chrono::milliseconds{1200};
 
@@ -176,7 +170,7 @@
     std::uint32_t member_digest = 0;
     bool store_works = false;            ///< Whether the sender can use the platform's store.
     std::vector<demand_report> demand;   ///< At most one report; none if another daemon reports for the zone.
-    std::vector<token_deposit> deposits; ///< To the sender's accounts at the receiver.
+    std::vector<customer_tokens> tokens; ///< Transferred to the receiver, the pool daemon of these customers.
 };
 
 /// Reply to a probe_message.
@@ -185,9 +179,8 @@
     std::uint64_t sequence = 0;
     std::uint64_t config_version = 0;
     std::uint32_t member_digest = 0;
-    std::vector<instance_status> status;      ///< At most one; sent if it changed since it was sent last.
-    std::vector<call_ratio> ratios;           ///< Only those that changed.
-    std::vector<std::string> closed_accounts; ///< Customers whose account the probe closed.
+    std::vector<instance_status> status; ///< At most one; sent if it changed since it was sent last.
+    std::vector<call_ratio> ratios;      ///< Only those that changed.
 };
 
 /// Asks for the receiver's active configuration.
@@ -274,9 +267,9 @@
 };
 
 template <>
-struct message_layout<sidecar::token_deposit>
+struct message_layout<sidecar::customer_tokens>
 {
-    static auto fields(auto& m) { return std::tie(m.customer, m.tokens, m.refill, m.closes); }
+    static auto fields(auto& m) { return std::tie(m.customer, m.tokens); }
 };
 
 template <>
@@ -351,7 +344,7 @@
 {
     static auto fields(auto& m)
     {
-        return std::tie(m.sequence, m.config_version, m.member_digest, m.store_works, m.demand, m.deposits);
+        return std::tie(m.sequence, m.config_version, m.member_digest, m.store_works, m.demand, m.tokens);
     }
 };
 
@@ -360,7 +353,7 @@
 {
     static auto fields(auto& m)
     {
-        return std::tie(m.sequence, m.config_version, m.member_digest, m.status, m.ratios, m.closed_accounts);
+        return std::tie(m.sequence, m.config_version, m.member_digest, m.status, m.ratios);
     }
 };
 
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
@@ -39,8 +39,7 @@
     {
         std::function<std::span<const call_ratio>()> ratios;
         /// Called with each received probe.
-        /// @returns the customers whose account the probe closed
-        std::function<std::vector<std::string>(const member_record& sender, const probe_message&)> on_probe;
+        std::function<void(const member_record& sender, const probe_message&)> on_probe;
         std::function<token_grant_message(const token_request_message&)> on_token_request;
         /// Called when a client meets a limit, with the name of the limit.
         std::function<void(std::string_view limit)> on_limit = [](std::string_view) {};
@@ -129,7 +128,7 @@
 
     /// Maximum time without received bytes on a connection. The sender sends probes at a shorter interval,
     /// and reconnects after about this time.
-    static constexpr core::duration silence_timeout = max_message_age;
+    static constexpr core::duration silence_timeout = std::chrono::milliseconds{1200};
 
     /// Time for which the refusal of a call is kept that was not received for lack of memory.
     static constexpr core::duration dropped_call_retention = std::chrono::seconds{30};
--- a/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
@@ -71,8 +71,7 @@
     void on_status(const std::string& daemon_id, const instance_status& status);
 
     /// Records the demand and the tokens that a probe of another daemon carries.
-    /// @returns the customers whose account the probe closed
-    std::vector<std::string> record_probe(const member_record& sender, const probe_message& probe);
+    void record_probe(const member_record& sender, const probe_message& probe);
 
     /// Returns the demand to report to daemons of a zone.
     /// @returns the demand at this daemon for its own zone; for another zone the total of the own zone, or no
--- a/packages/sidecar/src/customer_limiter.cpp
+++ b/packages/sidecar/src/customer_limiter.cpp
@@ -14,35 +14,19 @@
         {
             continue;
         }
-        customer_bucket bucket;
-        if (const auto known = this->buckets.extract(entry.name))
-        {
-            bucket = known.mapped();
-        }
-        else if (const auto former = this->former_buckets.extract(entry.name))
-        {
-            bucket = former.mapped();
-        }
-        else
+        const auto known = this->buckets.find(entry.name);
+        customer_bucket bucket = known == this->buckets.end() ? customer_bucket{} : known->second;
+        if (known == this->buckets.end())
         {
             bucket.tokens = this->options.full_at_start ? entry.burst * this->share() : 0.0;
             bucket.last_refill = now;
         }
         bucket.rate = entry.rate_per_second * this->options.headroom;
         bucket.burst = entry.burst * this->options.headroom;
-        bucket.tokens = std::min(bucket.tokens, this->max_tokens(bucket));
+        bucket.tokens = std::min(bucket.tokens, bucket.burst * this->share());
         next.emplace(entry.name, bucket);
     }
-    this->former_buckets.merge(this->buckets);
     this->buckets = std::move(next);
-    // One that is full again by now is like a new one.
-    std::erase_if(this->former_buckets,
-                  [now](const auto& entry)
-                  {
-                      const customer_bucket& bucket = entry.second;
-                      return !bucket.lends &&
-                             core::to_seconds(now - bucket.last_refill) * bucket.rate > bucket.burst;
-                  });
 }
 
 void customer_limiter::record_demand(const std::string& daemon_id, std::span<const customer_demand> demand,
@@ -56,45 +40,12 @@
     }
 }
 
-/// Adds the refill since the last call, without that of the lent time.
 void customer_limiter::refill(customer_bucket& bucket, core::time_point now) const
 {
-    const core::time_point end =
-        std::max(now, bucket.last_refill); // The caller's time may be a little older.
-    const core::time_point lent_from = std::clamp(bucket.lent_from, bucket.last_refill, end);
-    const core::time_point lent_until = std::clamp(bucket.lent_until, lent_from, end);
-    const core::duration own_time = end - bucket.last_refill - (lent_until - lent_from);
-    bucket.tokens += core::to_seconds(own_time) * bucket.rate * this->share();
-    bucket.tokens = std::min(bucket.tokens, this->max_tokens(bucket));
-    bucket.last_refill = end;
-}
-
-/// Returns the maximum number of tokens that this daemon may hold. If it does not lend, it may hold one in
-/// any case, since a fraction of a token admits no request.
-double customer_limiter::max_tokens(const customer_bucket& bucket) const
-{
-    return bucket.lends ? this->kept_tokens(bucket) : std::max(bucket.burst * this->share(), 1.0);
-}
-
-void customer_limiter::set_lending(const std::string& name, bool lends, core::time_point now)
-{
-    auto found = this->buckets.find(name);
-    if (found == this->buckets.end())
-    {
-        found = this->former_buckets.find(name);
-        if (found == this->former_buckets.end())
-        {
-            return;
-        }
-    }
-    customer_bucket& bucket = found->second;
-    this->refill(bucket, now); // Up to the former limit.
-    bucket.lends = lends;
-    bucket.tokens = std::min(bucket.tokens, this->max_tokens(bucket));
-    if (!lends)
-    {
-        bucket.lent_until = now;
-    }
+    bucket.tokens += core::to_seconds(now - bucket.last_refill) * bucket.rate * this->share();
+    // Tokens beyond the share of the burst are lost unless they were taken as surplus before.
+    bucket.tokens = std::min(bucket.tokens, std::max(bucket.burst * this->share(), 1.0));
+    bucket.last_refill = now;
 }
 
 bool customer_limiter::try_charge(const std::string& name, double urgency, core::time_point now)
@@ -132,65 +83,36 @@
     return kept < 1.0 ? 0.0 : kept;
 }
 
-token_deposit customer_limiter::lend(const std::string& name, core::time_point now)
+double customer_limiter::take_surplus(const std::string& name, core::time_point now)
 {
     customer_bucket& bucket = this->buckets.at(name);
     this->refill(bucket, now);
-    customer_bucket lending = bucket;
-    const double surplus = std::max(0.0, bucket.tokens - this->kept_tokens(bucket));
-    lending.tokens -= surplus;
-    const double refill = this->lend_refill(lending, now);
-    if (surplus + refill < min_deposit)
+    const double surplus = bucket.tokens - this->kept_tokens(bucket);
+    if (surplus < min_surplus)
     {
-        return {.customer = name};
+        return 0.0;
     }
-    lending.lends = true;
-    bucket = lending;
-    return {.customer = name, .tokens = surplus, .refill = refill};
+    bucket.tokens -= surplus;
+    return surplus;
 }
 
-/// Lends the refill of the time from which the bucket is full.
-/// @returns the number of tokens
-double customer_limiter::lend_refill(customer_bucket& bucket, core::time_point now) const
+double customer_limiter::pool_capacity(const std::string& name) const
 {
-    const double rate = bucket.rate * this->share();
-    const double missing = std::max(0.0, this->kept_tokens(bucket) - bucket.tokens);
-    const double lent_seconds =
-        std::clamp(2 * min_deposit / rate, core::to_seconds(min_lent_time), core::to_seconds(max_lent_time));
-    const bool was_lent = now < bucket.lent_until;
-    if (missing >= rate * lent_seconds || (was_lent && missing > 0))
-    {
-        return 0.0; // The refill is needed here.
-    }
-    const core::time_point start = was_lent ? bucket.lent_until : now + core::from_seconds(missing / rate);
-    const core::time_point end = now + core::from_seconds(lent_seconds);
-    if (start >= end)
+    const auto found = this->buckets.find(name);
+    if (found == this->buckets.end())
     {
         return 0.0;
     }
-    bucket.lent_from = was_lent ? bucket.lent_from : start;
-    bucket.lent_until = end;
-    return core::to_seconds(end - start) * rate;
-}
-
-double customer_limiter::lent_share(const std::string& name) const
-{
-    const auto found = this->buckets.find(name);
-    return found == this->buckets.end()
-               ? 0.0
-               : found->second.burst * this->share() - this->kept_tokens(found->second);
-}
-
-double customer_limiter::rate_share(const std::string& name) const
-{
-    const auto found = this->buckets.find(name);
-    return found == this->buckets.end() ? 0.0 : found->second.rate * this->share();
+    // The pool and the tokens that the daemons keep add up to the burst.
+    const customer_bucket& bucket = found->second;
+    const bool kept = kept_fraction * bucket.burst >= static_cast<double>(this->daemons);
+    return kept ? (1.0 - kept_fraction) * bucket.burst : bucket.burst;
 }
 
-double customer_limiter::reserve_fraction(const std::string& name) const
+double customer_limiter::pool_reserve(const std::string& name) const
 {
     const auto found = this->buckets.find(name);
-    return found == this->buckets.end() ? 0.0 : found->second.reserve;
+    return found == this->buckets.end() ? 0.0 : found->second.reserve * this->pool_capacity(name);
 }
 
 std::vector<customer_demand> customer_limiter::demand() const
--- a/packages/sidecar/src/peer_link.cpp
+++ b/packages/sidecar/src/peer_link.cpp
@@ -195,7 +195,6 @@
         this->callbacks->on_status(this->peer.daemon_id, reply.status.front());
     }
     this->callbacks->on_ratios(this->peer.daemon_id, reply.ratios);
-    this->callbacks->on_closed_accounts(this->peer.daemon_id, reply.closed_accounts);
     this->fleet.reconcile(*this->stream, this->sync_state, this->peer.zone, reply.config_version,
                           reply.member_digest, core::boot_clock::now());
 }
@@ -315,7 +314,7 @@
                         .config_version = this->fleet.config_version(),
                         .member_digest = this->fleet.digest(),
                         .store_works = this->callbacks->store_works(),
-                        .deposits = this->callbacks->take_deposits(this->peer.daemon_id)};
+                        .tokens = this->callbacks->take_tokens_for(this->peer.daemon_id)};
     if (std::optional<demand_report> report = this->callbacks->demand_report_for(this->peer.zone))
     {
         if (std::exchange(this->last_report_covers_zone, report->covers_zone) != report->covers_zone)
--- a/packages/sidecar/src/peer_messages.cpp
+++ b/packages/sidecar/src/peer_messages.cpp
@@ -39,10 +39,8 @@
                            [](const route_demand& demand) { return is_amount(demand.rate, max_amount); });
     };
     return std::all_of(message.demand.begin(), message.demand.end(), report_is_valid) &&
-           std::all_of(message.deposits.begin(), message.deposits.end(),
-                       [](const token_deposit& entry) {
-                           return is_amount(entry.tokens, max_amount) && is_amount(entry.refill, max_amount);
-                       });
+           std::all_of(message.tokens.begin(), message.tokens.end(),
+                       [](const customer_tokens& entry) { return is_amount(entry.tokens, max_amount); });
 }
 
 bool is_valid(const probe_reply_message& message)
--- a/packages/sidecar/src/peer_server.cpp
+++ b/packages/sidecar/src/peer_server.cpp
@@ -145,13 +145,12 @@
 void peer_server::on_probe(session& peer, const probe_message& probe)
 {
     const core::time_point now = core::boot_clock::now();
-    std::vector<std::string> closed_accounts = this->handlers.on_probe(peer.sender, probe);
+    this->handlers.on_probe(peer.sender, probe);
     probe_reply_message reply{.sequence = probe.sequence,
                               .config_version = this->fleet.config_version(),
                               .member_digest = this->fleet.digest(),
                               .status = {},
-                              .ratios = peer.ratio_tracker.take_changes(this->handlers.ratios()),
-                              .closed_accounts = std::move(closed_accounts)};
+                              .ratios = peer.ratio_tracker.take_changes(this->handlers.ratios())};
     if (const instance_status status = this->dispatcher.status();
         peer.status_tracker.should_send(status, now))
     {
--- a/packages/sidecar/src/request_router.cpp
+++ b/packages/sidecar/src/request_router.cpp
@@ -31,9 +31,10 @@
     this->overload_shedder.configure(*this->config);
 }
 
-std::vector<std::string> request_router::record_probe(const member_record& sender, const probe_message& probe)
+void request_router::record_probe(const member_record& sender, const probe_message& probe)
 {
     const core::time_point now = core::boot_clock::now();
+    this->admissions.deposit(probe.tokens);
     for (const demand_report& report : probe.demand)
     {
         // All reporting daemons of a zone send the same total, so a report replaces the previous one.
@@ -45,7 +46,6 @@
             this->own_zone_demand.record(sender.daemon_id, report, now);
         }
     }
-    return this->admissions.on_deposits(sender.daemon_id, sender.started_ms, probe.deposits, now);
 }
 
 std::optional<demand_report> request_router::demand_report_for(const std::string& receiving_zone) const
--- a/packages/sidecar/src/request_router_outcome.cpp
+++ b/packages/sidecar/src/request_router_outcome.cpp
@@ -44,7 +44,6 @@
 void request_router::end_all_calls()
 {
     this->ended = true;
-    this->admissions.stop_granting();
     while (!this->calls.empty())
     {
         routed_call& call = this->calls.begin()->second;
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -86,10 +86,10 @@
                  [this](const member_record& sender, const probe_message& probe)
              {
                  this->store_works_at_peer.insert_or_assign(sender.daemon_id, probe.store_works);
-                 return this->router.record_probe(sender, probe);
+                 this->router.record_probe(sender, probe);
              },
              .on_token_request = [this](const token_request_message& request)
-             { return this->router.admission().on_token_request(request, core::boot_clock::now()); },
+             { return this->router.admission().on_token_request(request); },
              .on_limit = [this](std::string_view limit) { this->count_limit(limit); }},
             {.max_connections = this->connections.peers, .memory = &this->memory}),
       router({.daemon_id = this->settings.daemon_id,
@@ -120,11 +120,8 @@
     callbacks->demand_report_for = [this](const std::string& zone)
     { return this->router.demand_report_for(zone); };
     callbacks->store_works = [this] { return this->store_works; };
-    callbacks->take_deposits = [this](const std::string& daemon_id)
-    { return this->router.admission().take_deposits(daemon_id, core::boot_clock::now()); };
-    callbacks->on_closed_accounts =
-        [this](const std::string& daemon_id, const std::vector<std::string>& customers)
-    { this->router.admission().on_closed_accounts(daemon_id, customers, core::boot_clock::now()); };
+    callbacks->take_tokens_for = [this](const std::string& daemon_id)
+    { return this->router.admission().take_surplus(daemon_id, core::boot_clock::now()); };
     callbacks->on_token_grant = [this](const token_grant_message& grant)
     { this->router.admission().on_token_grant(grant); };
     return callbacks;
--- a/packages/sidecar/src/sidecar_daemon_members.cpp
+++ b/packages/sidecar/src/sidecar_daemon_members.cpp
@@ -68,10 +68,6 @@
         }
         if (known != this->links.end())
         {
-            if (record.left && !known->second->has_left())
-            {
-                this->router.admission().on_daemon_left(id, core::boot_clock::now());
-            }
             known->second->update(record);
             continue;
         }
--- a/packages/sidecar/tests/customer_admission_test.cpp
+++ b/packages/sidecar/tests/customer_admission_test.cpp
@@ -143,7 +143,7 @@
             if (this->can_reach(request.from, request.to))
             {
                 this->nodes[request.from]->on_token_grant(
-                    this->nodes[request.to]->on_token_request(request.message, this->now));
+                    this->nodes[request.to]->on_token_request(request.message));
             }
         }
     }
@@ -155,12 +155,7 @@
             if (to != from && this->can_reach(from, to))
             {
                 this->nodes[to]->record_demand(this->names[from], this->nodes[from]->demand(), this->now);
-                this->nodes[from]->on_closed_accounts(
-                    this->names[to],
-                    this->nodes[to]->on_deposits(this->names[from], 1,
-                                                 this->nodes[from]->take_deposits(this->names[to], this->now),
-                                                 this->now),
-                    this->now);
+                this->nodes[to]->deposit(this->nodes[from]->take_surplus(this->names[to], this->now));
             }
         }
     }
--- a/packages/sidecar/tests/fake_peer.hpp
+++ b/packages/sidecar/tests/fake_peer.hpp
@@ -57,7 +57,7 @@
                                                             .config_version = config_version,
                                                             .member_digest = 1,
                                                             .demand = {},
-                                                            .deposits = {}});
+                                                            .tokens = {}});
     }
 
     void send_call(std::uint64_t id, bool idempotent, std::uint32_t remaining_ms = 60'000)
--- a/packages/sidecar/tests/fake_receiver.hpp
+++ b/packages/sidecar/tests/fake_receiver.hpp
@@ -96,8 +96,7 @@
             .on_ratios = [](const std::string&, const std::vector<call_ratio>&) {},
             .demand_report_for = [](const std::string&) { return std::nullopt; },
             .store_works = [] { return true; },
-            .take_deposits = [](const std::string&) { return std::vector<token_deposit>{}; },
-            .on_closed_accounts = [](const std::string&, const std::vector<std::string>&) {},
+            .take_tokens_for = [](const std::string&) { return std::vector<customer_tokens>{}; },
             .on_token_grant = [](const token_grant_message&) {}};
 }
 
--- a/packages/sidecar/tests/peer_messages_test.cpp
+++ b/packages/sidecar/tests/peer_messages_test.cpp
@@ -24,12 +24,7 @@
             .demand = {{.covers_zone = false,
                         .customers = {{.customer = "c", .rate = rate}},
                         .routes = {{.route = "r", .rank = 0, .rate = rate}}}},
-            .deposits = {{.customer = "c", .tokens = tokens}}};
-}
-
-probe_message probe_with_refill(double refill)
-{
-    return {.sequence = 1, .demand = {}, .deposits = {{.customer = "c", .refill = refill}}};
+            .tokens = {{.customer = "c", .tokens = tokens}}};
 }
 
 } // namespace
@@ -69,14 +64,12 @@
     {
         CPPUNIT_ASSERT(accepted(probe_with(0, 0)));
         CPPUNIT_ASSERT(accepted(probe_with(1000, 20)));
-        CPPUNIT_ASSERT(accepted(probe_with_refill(20)));
         constexpr double infinite = std::numeric_limits<double>::infinity();
         constexpr double not_a_number = std::numeric_limits<double>::quiet_NaN();
         for (const double odd : {-1.0, infinite, -infinite, not_a_number, 1e300})
         {
             CPPUNIT_ASSERT(!accepted(probe_with(odd, 0)));
             CPPUNIT_ASSERT(!accepted(probe_with(0, odd)));
-            CPPUNIT_ASSERT(!accepted(probe_with_refill(odd)));
             CPPUNIT_ASSERT(!accepted(probe_reply_message{
                 .ratios = {{.parent_route = "p", .child_route = "c", .calls_per_run = odd}}}));
             CPPUNIT_ASSERT(!accepted(token_request_message{.id = 1, .customer = "c", .urgency = odd}));
--- a/packages/sidecar/tests/peer_server_fixture.hpp
+++ b/packages/sidecar/tests/peer_server_fixture.hpp
@@ -67,14 +67,13 @@
         this->log,
         this->metrics};
     fleet_state fleet{{.daemon_id = "self", .started_ms = own_started_ms}};
-    peer_server server{
-        this->dispatcher,
-        this->fleet,
-        this->log,
-        {.ratios = [] { return std::span<const call_ratio>{}; },
-         .on_probe = [](const member_record&, const probe_message&) { return std::vector<std::string>{}; },
-         .on_token_request = [](const token_request_message& request)
-         { return token_grant_message{.id = request.id}; }}};
+    peer_server server{this->dispatcher,
+                       this->fleet,
+                       this->log,
+                       {.ratios = [] { return std::span<const call_ratio>{}; },
+                        .on_probe = [](const member_record&, const probe_message&) {},
+                        .on_token_request = [](const token_request_message& request)
+                        { return token_grant_message{.id = request.id}; }}};
     tcp::acceptor acceptor{this->io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
     core::duration elapsed{};
 };
