Read the framing of a library's responses with the parser's own functions

core::has_definite_end() repeated what the HTTP package has: the check of a field, the comparison of names and the framing of a body. It is in that package now and calls is_valid_field() and parse_framing(). It is a little stricter by that: a Transfer-Encoding other than "chunked", alone, is no definite end, as the rule in the design says.

--- a/packages/ctl/src/admin_client.cpp
+++ b/packages/ctl/src/admin_client.cpp
@@ -1,6 +1,6 @@
 #include "laburnumreach/ctl/admin_client.hpp"
 
-#include "laburnumreach/core/response_framing.hpp"
+#include "laburnumreach/http/message_head.hpp"
 
 #include <httplib.h>
 
@@ -22,7 +22,7 @@
                                 config::to_string(daemon) +
                                     " did not answer: " + httplib::to_string(response.error()));
     }
-    if (!core::has_definite_end(response->status, response->headers))
+    if (!http::has_definite_end(response->status, response->headers))
     {
         return core::make_error(core::error_code::unavailable,
                                 config::to_string(daemon) + " sent a malformed response");
--- a/packages/http/include/laburnumreach/http/message_head.hpp
+++ b/packages/http/include/laburnumreach/http/message_head.hpp
@@ -52,6 +52,10 @@
 /// @param to_head_request whether the response answers a HEAD request and therefore has no body
 tl::expected<response_head, message_error> parse_response_head(std::string_view head, bool to_head_request);
 
+/// Returns whether the head of a response, read by a library that accepts others too, is well-formed and
+/// tells where the body ends, so that a body that was cut off is not taken for a whole one.
+bool has_definite_end(int status, const headers& fields);
+
 } // namespace laburnumreach::http
 
 #endif
--- a/packages/http/src/message_head.cpp
+++ b/packages/http/src/message_head.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr std::string_view line_end = "\r\n";
+constexpr int first_final_status = 200;
 
 using optional_error = std::optional<message_error>;
 
@@ -100,6 +101,14 @@
     return framing;
 }
 
+/// Returns whether a response with this status can have a body.
+bool can_have_body(int status)
+{
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    return status >= first_final_status && status != no_content && status != not_modified;
+}
+
 optional_error check_host(const headers& fields)
 {
     const std::size_t hosts = fields.count("Host");
@@ -244,12 +253,21 @@
     {
         return tl::unexpected{framing.error()};
     }
-    constexpr int first_final_status = 200;
-    const bool has_body = !to_head_request && parsed.status >= first_final_status && parsed.status != 204 &&
-                          parsed.status != 304;
-    parsed.framing = has_body ? *framing : body_framing{};
+    parsed.framing = !to_head_request && can_have_body(parsed.status) ? *framing : body_framing{};
     parsed.keep_alive = !*is_http_1_0 && !has_token(parsed.headers, "Connection", "close");
     return parsed;
 }
 
+bool has_definite_end(int status, const headers& fields)
+{
+    constexpr int last_status = 599;
+    const bool is_well_formed =
+        status >= first_final_status && status <= last_status &&
+        std::all_of(fields.begin(), fields.end(),
+                    [](const auto& field) { return is_valid_field(field.first, field.second); });
+    const auto framing = parse_framing(fields, false, body_framing::kind::until_close);
+    return is_well_formed && framing &&
+           (framing->type != body_framing::kind::until_close || !can_have_body(status));
+}
+
 } // namespace laburnumreach::http
--- a/packages/platform/src/http_object_store.cpp
+++ b/packages/platform/src/http_object_store.cpp
@@ -1,6 +1,6 @@
 #include "laburnumreach/platform/http_object_store.hpp"
 
-#include "laburnumreach/core/response_framing.hpp"
+#include "laburnumreach/http/message_head.hpp"
 #include "laburnumreach/platform/percent_encoding.hpp"
 
 #include <httplib.h>
@@ -130,7 +130,7 @@
         {
             return tl::unexpected<core::error>{transport_error(result.error(), kind)};
         }
-        if (!core::has_definite_end(result->status, result->headers))
+        if (!http::has_definite_end(result->status, result->headers))
         {
             return core::make_error(kind == call_kind::read ? core::error_code::unavailable
                                                             : core::error_code::outcome_unknown,
