One rule for what a stop cuts off, and nothing of it while no stop runs

The router and the dispatcher each had the comparison with the end of the process; stop_deadline has it for both. Each request looked up the usual response time of its route and the run times of its services, and each start read the clock, also when the daemon did not stop; now only a stop does. Response times of routes that left the configuration are forgotten. What is refused and when is the same.

--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -9,6 +9,7 @@
 #include "laburnumreach/sidecar/peer_messages.hpp"
 #include "laburnumreach/sidecar/sidecar_metrics.hpp"
 #include "laburnumreach/sidecar/slot_queue.hpp"
+#include "laburnumreach/sidecar/stop_deadline.hpp"
 
 #include <functional>
 #include <memory>
@@ -88,7 +89,7 @@
     void set_drain_limit(core::duration limit) { this->settings.drain_limit = limit; }
 
     /// Sets when this daemon ends. From now on, a call that is expected to run for longer does not start.
-    void set_end(core::time_point end) { this->end_time = end; }
+    void set_end(core::time_point end) { this->stop_end.set(end); }
 
     /// Refuses new calls from now on.
     void refuse_new_calls() { this->refusing_new_calls = true; }
@@ -144,7 +145,7 @@
     void start_queued();
     bool is_in_drain_time(core::time_point now) const;
     bool can_start_in_time(const waiting_call& call, core::time_point now) const;
-    bool is_expected_to_end_late(const open_call& call, core::time_point now) const;
+    bool is_expected_to_end_late(const open_call& call) const;
     void post_start_queued();
     void on_result(ticket id, instance_result result);
     void finish(ticket id, reply_message reply);
@@ -179,7 +180,7 @@
     core::time_point last_check{};
     core::time_point connect_blocked_until{};
     core::duration last_queue_wait{};
-    std::optional<core::time_point> end_time; ///< Time at which this daemon ends; set while it stops.
+    stop_deadline stop_end;
     bool draining = false;
     bool refusing_new_calls = false;
     bool start_posted = false;
--- a/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
@@ -18,6 +18,7 @@
 #include "laburnumreach/sidecar/routed_call.hpp"
 #include "laburnumreach/sidecar/routing_config.hpp"
 #include "laburnumreach/sidecar/sidecar_metrics.hpp"
+#include "laburnumreach/sidecar/stop_deadline.hpp"
 #include "laburnumreach/sidecar/weighted_round_robin.hpp"
 #include "laburnumreach/sidecar/zone_demand_aggregator.hpp"
 
@@ -92,7 +93,7 @@
 
     /// Sets when this daemon ends. From now on, a request of a caller is refused if its run is likely to take
     /// longer than until then.
-    void set_end(core::time_point end) { this->end_time = end; }
+    void set_end(core::time_point end) { this->stop_end.set(end); }
 
     /// Ends all calls, since the daemon ends: with the statement that it has not run if that is certain. From
     /// now on, every request is refused.
@@ -126,8 +127,6 @@
                     core::time_point now);
     double urgency_of(const route& matched) const;
     bool must_refuse_for_stop(const exchange& request, const route& matched, core::time_point now) const;
-    bool is_likely_to_end_late(const exchange& request, const route& matched, core::time_point now,
-                               core::duration expected) const;
     std::optional<core::duration> response_time_of(const route& matched) const;
     core::duration run_time_of(const route& matched) const;
     core::time_point deadline_of(const exchange& request, const route& matched, core::time_point now) const;
@@ -177,8 +176,8 @@
     std::uint64_t next_send_id = 1;
     std::unordered_map<std::string, response_time_estimator> response_times; ///< By route name.
     bool refusing_new_calls = false;
-    bool ended = false;                       ///< All calls were ended, since this daemon ends.
-    std::optional<core::time_point> end_time; ///< Time at which this daemon ends; set while it stops.
+    bool ended = false; ///< All calls were ended, since this daemon ends.
+    stop_deadline stop_end;
 };
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/src/instance_dispatcher.cpp
+++ b/packages/sidecar/src/instance_dispatcher.cpp
@@ -5,7 +5,6 @@
 #include "laburnumreach/sidecar/wire_text.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 namespace laburnumreach::sidecar
 {
@@ -233,50 +232,6 @@
                   });
 }
 
-void instance_dispatcher::allow_reading(std::size_t bytes, bool may_exceed)
-{
-    this->allowance->set(bytes);
-    const auto urgency_order = [](const open_call& call) {
-        return std::tuple{!call.message.nested, call.message.priority, call.arrived};
-    };
-    const open_call* most_urgent = nullptr;
-    for (const auto& [id, call] : this->calls)
-    {
-        if (call.connection != nullptr &&
-            (most_urgent == nullptr || urgency_order(call) < urgency_order(*most_urgent)))
-        {
-            most_urgent = &call;
-        }
-    }
-    for (const auto& [id, call] : this->calls)
-    {
-        if (call.connection != nullptr)
-        {
-            call.connection->resume(may_exceed && &call == most_urgent);
-        }
-    }
-}
-
-std::size_t instance_dispatcher::held_bytes() const
-{
-    std::size_t total = 0;
-    for (const auto& [id, call] : this->calls)
-    {
-        total += call.message.body.size() + (call.connection == nullptr ? 0 : call.connection->held_bytes());
-    }
-    return total;
-}
-
-std::size_t instance_dispatcher::response_bytes() const
-{
-    std::size_t total = 0;
-    for (const auto& [id, call] : this->calls)
-    {
-        total += call.connection == nullptr ? 0 : call.connection->response_bytes();
-    }
-    return total;
-}
-
 void instance_dispatcher::on_instance_changed()
 {
     if (this->instance.accepts_work())
@@ -323,7 +278,7 @@
     while (!this->queue.empty() && this->running < this->usable_slots())
     {
         const ticket next = this->queue.pop()->key;
-        if (this->is_expected_to_end_late(this->calls.at(next), core::boot_clock::now()))
+        if (this->is_expected_to_end_late(this->calls.at(next)))
         {
             this->refuse(next, call_reason::daemon_stopping);
             continue;
@@ -333,10 +288,10 @@
 }
 
 /// Returns whether a call that starts now is expected to run until this daemon has ended, which cuts it off.
-bool instance_dispatcher::is_expected_to_end_late(const open_call& call, core::time_point now) const
+bool instance_dispatcher::is_expected_to_end_late(const open_call& call) const
 {
-    return this->end_time && call.deadline > *this->end_time &&
-           now + this->expected_run_time() > *this->end_time;
+    return this->stop_end.is_set() &&
+           this->stop_end.cuts_off(core::boot_clock::now(), this->expected_run_time(), call.deadline);
 }
 
 std::shared_ptr<instance_connection> instance_dispatcher::take_connection()
--- a/packages/sidecar/src/request_router.cpp
+++ b/packages/sidecar/src/request_router.cpp
@@ -29,6 +29,16 @@
     this->config = std::move(next);
     this->admissions.configure(this->config->customers(), core::boot_clock::now());
     this->overload_shedder.configure(*this->config);
+    // Forgets the response times of routes that are gone.
+    std::unordered_map<std::string, response_time_estimator> known = std::exchange(this->response_times, {});
+    this->config->for_each_route(
+        [&](const route& entry)
+        {
+            if (auto node = known.extract(entry.name))
+            {
+                this->response_times.insert(std::move(node));
+            }
+        });
 }
 
 void request_router::record_probe(const member_record& sender, const probe_message& probe)
@@ -148,26 +158,20 @@
     {
         return true;
     }
+    if (!this->stop_end.is_set() && !this->refusing_new_calls)
+    {
+        return false; // This daemon does not stop.
+    }
+    const std::optional<core::duration> response_time = this->response_time_of(matched);
+    const core::time_point deadline = this->deadline_of(request, matched, now);
     if (matched.open && this->dispatcher.running_calls() > 0)
     {
-        return this->refusing_new_calls &&
-               this->is_likely_to_end_late(
-                   request, matched, now,
-                   this->response_time_of(matched).value_or(matched.latency_objective));
+        const core::duration expected = response_time.value_or(matched.latency_objective);
+        return this->refusing_new_calls && this->stop_end.cuts_off(now, expected, deadline);
     }
-    return this->refusing_new_calls ||
-           this->is_likely_to_end_late(request, matched, now,
-                                       std::max(this->response_time_of(matched).value_or(core::duration{}),
-                                                this->run_time_of(matched)));
-}
-
-/// Returns whether a request is likely to last until this daemon has ended.
-/// @param expected the longest likely time until its response
-bool request_router::is_likely_to_end_late(const exchange& request, const route& matched,
-                                           core::time_point now, core::duration expected) const
-{
-    return this->end_time && now + expected > *this->end_time &&
-           this->deadline_of(request, matched, now) > *this->end_time;
+    const core::duration expected =
+        std::max(response_time.value_or(core::duration{}), this->run_time_of(matched));
+    return this->refusing_new_calls || this->stop_end.cuts_off(now, expected, deadline);
 }
 
 /// Returns the longest likely time until the response to a request; none if the route had no requests.
