--- a/packages/sidecar/tests/planned_stop_test.cpp
+++ b/packages/sidecar/tests/planned_stop_test.cpp
@@ -70,6 +70,9 @@
 
     void tearDown() override
     {
+        this->caller.reset();
+        this->other_upstream.reset();
+        this->other.reset();
         this->daemon.reset();
         this->upstream.reset();
     }
@@ -123,9 +126,7 @@
     void requests_without_a_key_are_served_or_refused_until_the_end()
     {
         this->restart_with_open_route();
-        running_daemon other{other_daemon()};
-        fake_upstream other_upstream{upstream_address(other_address)};
-        this->connect(other);
+        this->start_other_daemon();
         this->begin_stop();
         std::atomic<int> served{0};
         constexpr int caller_count = 4;
@@ -141,55 +142,37 @@
         {
             caller.join();
         }
-        CPPUNIT_ASSERT_EQUAL(this->upstream->requests + other_upstream.requests, served.load());
+        CPPUNIT_ASSERT_EQUAL(this->upstream->requests + this->other_upstream->requests, served.load());
     }
 
     void nested_call_of_an_open_run_is_served()
     {
-        this->restart_with_open_route();
-        plain_client caller{this->daemon->settings().outbound};
-        send(caller, 4000ms, 1);
-        this->wait_for_runs(1); // On this instance, since no other one is known yet.
-        running_daemon other{other_daemon()};
-        fake_upstream other_upstream{upstream_address(other_address)};
-        this->connect(other);
+        this->start_run_beside_other_daemon(4000ms);
         this->begin_stop();
         std::this_thread::sleep_for(2700ms);
         plain_client instance{this->daemon->settings().outbound};
         send(instance, 100ms, 2);
         CPPUNIT_ASSERT_EQUAL(200, instance.read_status());
-        CPPUNIT_ASSERT_EQUAL(200, caller.read_status());
+        CPPUNIT_ASSERT_EQUAL(200, this->caller->read_status());
     }
 
     void nested_call_that_cannot_end_in_time_is_not_passed_on()
     {
-        this->restart_with_open_route();
-        plain_client caller{this->daemon->settings().outbound};
-        send(caller, 15s, 1);
-        this->wait_for_runs(1); // On this instance, since no other one is known yet.
-        running_daemon other{other_daemon()};
-        fake_upstream other_upstream{upstream_address(other_address)};
-        this->connect(other);
+        this->start_run_beside_other_daemon(15s);
         this->make_responses_known_as(1500ms);
         this->begin_stop();
         std::this_thread::sleep_for(3600ms);
-        const int runs = this->upstream->requests + other_upstream.requests;
+        const int runs = this->upstream->requests + this->other_upstream->requests;
         plain_client instance{this->daemon->settings().outbound};
         send(instance, 1500ms, 2);
         CPPUNIT_ASSERT_EQUAL(503, instance.read_status());
-        CPPUNIT_ASSERT_EQUAL(runs, this->upstream->requests + other_upstream.requests);
+        CPPUNIT_ASSERT_EQUAL(runs, this->upstream->requests + this->other_upstream->requests);
     }
 
     /// A call that ends at its deadline is not cut off by the end of the daemon.
     void nested_call_with_a_deadline_before_the_end_is_passed_on()
     {
-        this->restart_with_open_route();
-        plain_client caller{this->daemon->settings().outbound};
-        send(caller, 15s, 1);
-        this->wait_for_runs(1); // On this instance, since no other one is known yet.
-        running_daemon other{other_daemon()};
-        fake_upstream other_upstream{upstream_address(other_address)};
-        this->connect(other);
+        this->start_run_beside_other_daemon(15s);
         this->make_responses_known_as(1500ms);
         this->begin_stop();
         std::this_thread::sleep_for(2700ms);
@@ -228,11 +211,6 @@
         return {.address = "127.199.7." + std::to_string(address), .port = 7402};
     }
 
-    static running_daemon::options other_daemon()
-    {
-        return {.id = "other", .address = other_address, .bindings = bindings_with_open_route()};
-    }
-
     void restart_with_open_route()
     {
         this->daemon.reset();
@@ -244,11 +222,25 @@
         CPPUNIT_ASSERT(this->daemon->waits_for("event=instance_changed instance=i-1"));
     }
 
-    void connect(running_daemon& other)
+    /// Starts a daemon with an instance of its own, and connects the two.
+    void start_other_daemon()
     {
-        other.put_config(1, "1");
-        CPPUNIT_ASSERT(other.waits_for("event=instance_changed instance=i-1"));
-        this->daemon->connect_to(other);
+        this->other.emplace(running_daemon::options{
+            .id = "other", .address = other_address, .bindings = bindings_with_open_route()});
+        this->other_upstream.emplace(upstream_address(other_address));
+        this->other->put_config(1, "1");
+        CPPUNIT_ASSERT(this->other->waits_for("event=instance_changed instance=i-1"));
+        this->daemon->connect_to(*this->other);
+    }
+
+    /// Starts a run on the instance beside the daemon, and then another daemon for its nested calls.
+    void start_run_beside_other_daemon(std::chrono::milliseconds run_time)
+    {
+        this->restart_with_open_route();
+        this->caller.emplace(this->daemon->settings().outbound);
+        send(*this->caller, run_time, 1);
+        this->wait_for_runs(1); // On this instance, since no other one is known yet.
+        this->start_other_daemon();
     }
 
     void wait_for_runs(int count)
@@ -323,6 +315,9 @@
 
     std::optional<fake_upstream> upstream;
     std::optional<running_daemon> daemon;
+    std::optional<fake_upstream> other_upstream; ///< Set in tests with a second daemon.
+    std::optional<running_daemon> other;
+    std::optional<plain_client> caller; ///< Its request runs on the instance beside the daemon.
     int runs_before = 0;
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(planned_stop_test);
