--- /dev/null
+++ b/review/11/case.cpp
@@ -0,0 +1,90 @@
+// DRAIN: a restarted sidecar gives work to an instance that an earlier process acknowledged as leaving, because
+// a false health answer alone makes it ready.
+#include "harness.hpp"
+
+#include <csignal>
+#include <cstdio>
+
+using namespace review;
+
+int main()
+{
+    recorder::open("review/11/record.txt");
+    constexpr double drain_s = 2;
+    const std::string network = free_network();
+    const std::string folder = temporary_folder();
+    store_standin store{network + "200", store_port};
+    run_log runs;
+    store.put("config", "main",
+              config(10, json::array({service("orders")}), json::array({route("order", "safe", "orders")}),
+                     json::array({tenant("alpha", "key-of-alpha", 0, 0)})));
+    std::vector<std::unique_ptr<sidecar_process>> sidecars;
+    std::vector<std::unique_ptr<instance_standin>> instances;
+    for (int index = 1; index <= 3; ++index)
+    {
+        const machine at{.name = "m" + std::to_string(index),
+                         .zone = "zone-1",
+                         .ip = network + std::to_string(index),
+                         .service = "orders"};
+        sidecars.push_back(std::make_unique<sidecar_process>(
+            at, network + "200:" + std::to_string(store_port), folder));
+        sidecars.back()->start(true);
+        instances.push_back(std::make_unique<instance_standin>(
+            instance_standin::options{.at = at, .id = "i-" + at.name, .health_is_false = trouble() && index == 1},
+            runs));
+    }
+    for (const auto& sidecar : sidecars)
+    {
+        if (!sidecar->wait_ready(10))
+        {
+            std::fprintf(stderr, "a sidecar isn't ready\n");
+            return 2;
+        }
+    }
+    sleep_s(4);
+    std::vector<std::unique_ptr<load>> clients;
+    for (const auto& sidecar : {sidecars[1].get(), sidecars[2].get()})
+    {
+        clients.push_back(std::make_unique<load>(sidecar->at(), "key-of-alpha", "/order/1", 60, 8, 5000));
+    }
+    sleep_s(3);
+    const double acknowledged = instances[0]->deregister();
+    sidecars[0]->signal(SIGKILL);
+    sidecars[0]->wait();
+    sleep_s(0.5);
+    sidecars[0]->start(false);
+    if (!sidecars[0]->wait_ready(5))
+    {
+        std::fprintf(stderr, "the restarted sidecar isn't ready\n");
+        return 2;
+    }
+    sleep_until_s(acknowledged + 7);
+    for (const auto& entry : clients)
+    {
+        entry->stop();
+        for (const auto& [status, count] : entry->statuses())
+        {
+            recorder::line("answers " + std::to_string(status) + ": " + std::to_string(count));
+        }
+    }
+    int late = 0;
+    double first = 0;
+    for (const run& entry : runs.all())
+    {
+        if (entry.instance == "i-m1" && entry.at > acknowledged + drain_s)
+        {
+            first = late++ == 0 ? entry.at - acknowledged : first;
+            recorder::line("late: run of " + entry.id + " at i-m1, " + std::to_string(entry.at - acknowledged) +
+                           " s after the acknowledgement");
+        }
+    }
+    const std::string text = "DRAIN: " + std::to_string(late) + " requests reached i-m1 later than 2 s after its leaving was acknowledged" +
+                             (late > 0 ? ", the first after " + std::to_string(first) + " s" : "");
+    recorder::line(text);
+    std::puts(text.c_str());
+    if (acknowledged < 0 || runs.all().size() < 100)
+    {
+        return 2;
+    }
+    return late > 0 ? 1 : 0;
+}
