--- a/review/harness-3/harness.cpp
+++ b/review/harness-3/harness.cpp
@@ -677,9 +677,23 @@
     return http_response(200,
                          "Laburnumreach-Attempt-Id: " + id + "\r\nLaburnumreach-Server-Signature: s." + id +
                              "\r\n" + load,
-                         "body of " + id);
+                         this->answer_body(call, id));
 }
 
+/// Returns the body of an answer; `size=N` in the query asks for a long one.
+std::string instance_standin::answer_body(const message& call, const std::string& id) const
+{
+    std::string text = "body of " + id;
+    const std::size_t size = call.target().find("size=");
+    if (size != std::string::npos)
+    {
+        text.resize(std::stoul(call.target().substr(size + 5)), '.');
+    }
+    return text;
+}
+
+int sidecar_process::memory_mb = 260;
+
 std::map<std::string, std::string> sidecar_process::bounds{
     {"drainS", "2"},           {"graceS", "6"},           {"retryBudgetRatio", "0.2"},
     {"retryBudgetSlack", "47"}, {"budgetWindowS", "10"}};
@@ -732,6 +746,7 @@
     std::ofstream{path} << text;
     const std::string log = this->directory + "/" + this->where.name + ".log";
     const std::string variable = "LABURNUMREACH_SETTINGS=" + path;
+    const std::string memory = "SIDECAR_MEMORY_MB=" + std::to_string(memory_mb);
     this->process = ::fork();
     if (this->process == 0)
     {
@@ -740,7 +755,7 @@
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
         const char* const arguments[] = {"target/platform/laburnumreach-sidecar", nullptr};
-        const char* const environment[] = {variable.c_str(), "SIDECAR_MEMORY_MB=260",
+        const char* const environment[] = {variable.c_str(), memory.c_str(),
                                            "SIDECAR_MAX_DESCRIPTORS=4100", "PATH=/usr/bin:/bin", nullptr};
         ::execve(arguments[0], const_cast<char* const*>(arguments), const_cast<char* const*>(environment));
         ::_exit(127);
@@ -772,6 +787,19 @@
     return false;
 }
 
+double sidecar_process::peak_mb() const
+{
+    std::ifstream status{"/proc/" + std::to_string(this->process) + "/status"};
+    for (std::string line; std::getline(status, line);)
+    {
+        if (line.rfind("VmHWM:", 0) == 0)
+        {
+            return std::stod(line.substr(6)) / 1024;
+        }
+    }
+    return 0;
+}
+
 bool sidecar_process::ready() const
 {
     const auto connection = stream::connect(this->where.ip, ready_port);
--- a/review/harness-3/harness.hpp
+++ b/review/harness-3/harness.hpp
@@ -218,6 +218,7 @@
 
 private:
     std::string handle(const message& call, stream& connection);
+    std::string answer_body(const message& call, const std::string& id) const;
     bool announce(const std::string& verb);
     void send_heartbeats();
 
@@ -250,11 +251,17 @@
     /// Returns whether the process has ended by itself.
     bool has_ended();
 
+    /// Returns the largest resident memory so far, in MB; zero if the process has ended.
+    double peak_mb() const;
+
     const machine& at() const { return this->where; }
 
     /// Bounds as the platform fills them into the template.
     static std::map<std::string, std::string> bounds;
 
+    /// Memory of the machine's process.
+    static int memory_mb;
+
 private:
     machine where;
     std::string store;
