--- a/review/11/case.cpp
+++ b/review/11/case.cc
@@ -1,6 +1,6 @@
 // DRAIN: a restarted sidecar gives work to an instance that an earlier process acknowledged as leaving, because
 // a false health answer alone makes it ready.
-#include "harness.hpp"
+#include "harness.hh"
 
 #include <csignal>
 #include <cstdio>
--- a/review/14/case.cpp
+++ b/review/14/case.cc
@@ -1,6 +1,6 @@
 // QUOTA: a tenant that a new version of the configuration drops, and the next one has again, gets its whole
 // burst a second time.
-#include "harness.hpp"
+#include "harness.hh"
 
 #include <cstdio>
 
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,8 +5,8 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
 flags=(-std=c++20 -O1 -g1 -Wall -Wextra -pthread -Ireview/harness-3)
-g++ "${flags[@]}" -c review/harness-3/harness.cpp -o target/review-3/harness.o
-for source in review/1[1-5]/case.cpp; do
+g++ "${flags[@]}" -c review/harness-3/harness.cc -o target/review-3/harness.o
+for source in review/1[1-5]/case.cc; do
   [ -e "$source" ] || continue
   name=$(basename "$(dirname "$source")")
   g++ "${flags[@]}" "$source" target/review-3/harness.o -o "target/review-3/case-$name"
--- a/review/harness-3/harness.cpp
+++ b/review/harness-3/harness.cc
@@ -1,4 +1,4 @@
-#include "harness.hpp"
+#include "harness.hh"
 
 #include <algorithm>
 #include <array>
