--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -30,6 +30,8 @@
     constexpr double share_of_longest = 0.01;
     constexpr int clients = 64;
     constexpr int stops = 3;
+    sidecar_process::bounds["drainS"] = "2.5";
+    sidecar_process::bounds["retryBudgetSlack"] = "120";
     const std::string network = free_network();
     const std::string folder = temporary_folder();
     store_standin store{network + "200", store_port};
