--- a/review/harness-3/harness.hh
+++ b/review/harness-3/harness.hh
@@ -322,7 +322,8 @@
 /// Creates a temporary folder that is removed at exit.
 std::string temporary_folder();
 
-/// Returns the largest number of runs of a tenant in a sliding window, and when it ends.
+/// Returns the largest number of requests of a tenant that were both sent by a load and run in one window, and
+/// when that ends. Windows begin with the sending of a request.
 std::pair<int, double> most_in_window(const std::vector<run>& runs, const std::string& tenant, double window_s);
 
 json service(const std::string& name);
