Bound what a stopping daemon passes on by its deadline, not by an estimate

Cause: a request on an open route counted as a call of a run on the instance beside the daemon while that ran anything, and only an estimate of its time bounded it. Calls of other daemons were bounded by a mean that starts at zero.

Change: a request is taken for a nested call only if its deadline lies within that of a run on the instance. What is passed on during a stop, and what the instance is given to run, states no more time than the daemon has. Calls of other daemons start by the usual run time, known from the first run on; one that the stop cut short may be repeated elsewhere. A route without response times counts with its latency objective. Nested calls of a deployment without customers are recognised by their deadline.

The other side, nested_call_that_ends_with_its_run_is_served, holds before and after.

--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "laburnumreach/sidecar/instance_state.hpp"
 #include "laburnumreach/sidecar/memory_reservation.hpp"
 #include "laburnumreach/sidecar/peer_messages.hpp"
+#include "laburnumreach/sidecar/response_time_estimator.hpp"
 #include "laburnumreach/sidecar/sidecar_metrics.hpp"
 #include "laburnumreach/sidecar/slot_queue.hpp"
 #include "laburnumreach/sidecar/stop_deadline.hpp"
@@ -88,7 +89,8 @@
     /// Replaces options::drain_limit.
     void set_drain_limit(core::duration limit) { this->settings.drain_limit = limit; }
 
-    /// Sets when this daemon ends. From now on, a call that is expected to run for longer does not start.
+    /// Sets when this daemon ends. From now on, a call that is expected to run for longer does not start, and
+    /// the instance is given no more time than until then.
     void set_end(core::time_point end) { this->stop_end.set(end); }
 
     /// Refuses new calls from now on.
@@ -106,6 +108,10 @@
     /// Returns the number of calls that the instance runs.
     std::uint32_t running_calls() const noexcept { return this->running; }
 
+    /// Returns whether a run has time until the given deadline, but for the time of messages. Calls that a
+    /// run makes end with it.
+    bool has_run_until(core::time_point deadline) const;
+
     /// Returns the number of calls whose handler has not been called: queued, running, or just ended.
     std::size_t open_calls() const noexcept { return this->calls.size() + this->ended_calls.size(); }
 
@@ -124,6 +130,7 @@
         core::time_point arrived{};
         core::time_point deadline{};
         core::time_point started{};
+        core::time_point stated_deadline{}; ///< Given to the instance; earlier than the deadline in a stop.
         std::shared_ptr<instance_connection> connection; ///< Set while running.
     };
 
@@ -173,6 +180,7 @@
     ticket next_ticket = 1;
     std::uint32_t running = 0;
     double mean_run_ms = 0;
+    response_time_estimator run_times;   ///< Of all routes. Unlike the mean, known from the first run on.
     core::time_point run_time_updated{}; ///< Time of the last change of mean_run_ms.
     bool gave_work = false;              ///< Whether the instance accepted work when its state changed last.
     /// Time at which an instance that had work began to leave.
--- a/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/request_router.hpp
@@ -87,12 +87,12 @@
     /// milliseconds.
     void tick(core::time_point now);
 
-    /// Refuses new requests of callers from now on. Nested calls of running requests still pass if they are
-    /// likely to end before this daemon.
+    /// Refuses new requests of callers from now on. Calls that the instance beside this daemon makes while it
+    /// runs a request still pass if they are likely to end before this daemon.
     void refuse_new_calls() { this->refusing_new_calls = true; }
 
     /// Sets when this daemon ends. From now on, a request of a caller is refused if its run is likely to take
-    /// longer than until then.
+    /// longer than until then, and what is passed on must be answered before.
     void set_end(core::time_point end) { this->stop_end.set(end); }
 
     /// Ends all calls, since the daemon ends: with the statement that it has not run if that is certain. From
@@ -127,6 +127,7 @@
                     core::time_point now);
     double urgency_of(const route& matched) const;
     bool must_refuse_for_stop(const exchange& request, const route& matched, core::time_point now) const;
+    bool may_be_nested(const exchange& request, const route& matched, core::time_point now) const;
     std::optional<core::duration> response_time_of(const route& matched) const;
     core::duration run_time_of(const route& matched) const;
     core::time_point deadline_of(const exchange& request, const route& matched, core::time_point now) const;
--- a/packages/sidecar/src/instance_dispatcher.cpp
+++ b/packages/sidecar/src/instance_dispatcher.cpp
@@ -290,8 +290,24 @@
 /// Returns whether a call that starts now is expected to run until this daemon has ended, which cuts it off.
 bool instance_dispatcher::is_expected_to_end_late(const open_call& call) const
 {
-    return this->stop_end.is_set() &&
-           this->stop_end.cuts_off(core::boot_clock::now(), this->expected_run_time(), call.deadline);
+    if (!this->stop_end.is_set())
+    {
+        return false;
+    }
+    const core::duration expected =
+        std::max(this->expected_run_time(), this->run_times.upper_bound().value_or(core::duration{}));
+    return this->stop_end.cuts_off(core::boot_clock::now(), expected, call.deadline);
+}
+
+bool instance_dispatcher::has_run_until(core::time_point deadline) const
+{
+    constexpr core::duration tolerance = std::chrono::milliseconds{250}; // Time of the messages.
+    return std::any_of(this->calls.begin(), this->calls.end(),
+                       [&](const auto& entry)
+                       {
+                           const open_call& call = entry.second;
+                           return call.connection != nullptr && call.stated_deadline + tolerance >= deadline;
+                       });
 }
 
 std::shared_ptr<instance_connection> instance_dispatcher::take_connection()
@@ -319,7 +335,8 @@
     const call_message& message = call.message;
     std::string text = message.method + ' ' + message.target + " HTTP/1.1\r\n" + message.fields;
     text += this->settings.names.expected_instance + ": " + this->instance.instance()->id + "\r\n";
-    text += this->settings.names.deadline_ms + ": " + std::to_string(to_ms(call.deadline - now)) + "\r\n";
+    text +=
+        this->settings.names.deadline_ms + ": " + std::to_string(to_ms(call.stated_deadline - now)) + "\r\n";
     if (!message.body.empty() || (message.method != "GET" && message.method != "HEAD"))
     {
         text += "Content-Length: " + std::to_string(message.body.size()) + "\r\n";
@@ -335,6 +352,7 @@
     open_call& call = this->calls.at(id);
     const core::time_point now = core::boot_clock::now();
     call.started = now;
+    call.stated_deadline = this->stop_end.limit(call.deadline);
     this->last_queue_wait = now - call.arrived;
     this->counters.queue_wait.add(to_ms(this->last_queue_wait));
     ++this->running;
@@ -363,6 +381,7 @@
     {
         this->counters.run_latency.add(to_ms(run_time));
         this->record_run_time(run_time, now);
+        this->run_times.record(run_time);
         // The instance may have responded before it read the whole request; reusable() is checked before
         // reuse.
         if (connection->is_open() && this->idle_connections.size() < max_idle_connections)
@@ -421,6 +440,16 @@
         reply.reason = "response not made by the instance";
         return reply;
     }
+    const bool ended_for_stop = call.stated_deadline < call.deadline &&
+                                core::boot_clock::now() >= call.stated_deadline &&
+                                result.head.status >= http_status::first_server_error;
+    if (ended_for_stop && call.message.idempotent)
+    {
+        // Its own deadline is later, so that it may be sent to another instance.
+        reply.kind = static_cast<std::uint8_t>(reply_kind::failed);
+        reply.reason = call_reason::daemon_stopping;
+        return reply;
+    }
     reply.kind = static_cast<std::uint8_t>(reply_kind::response);
     result.head.headers.erase(names.load);
     reply.fields = end_to_end_fields(std::move(result.head.headers));
--- a/packages/sidecar/src/request_router.cpp
+++ b/packages/sidecar/src/request_router.cpp
@@ -149,8 +149,8 @@
 
 /// Returns whether a request is refused because this daemon stops.
 ///
-/// A request on an open route may be a nested call of a run on the instance beside this daemon, and nobody
-/// else could serve it. It is one of a caller if that instance runs nothing.
+/// A nested call of a run on the instance beside this daemon can be served by nobody else, so it is accepted
+/// for longer than a request of a caller.
 bool request_router::must_refuse_for_stop(const exchange& request, const route& matched,
                                           core::time_point now) const
 {
@@ -162,18 +162,36 @@
     {
         return false; // This daemon does not stop.
     }
-    const std::optional<core::duration> response_time = this->response_time_of(matched);
+    const core::duration response_time = this->response_time_of(matched).value_or(matched.latency_objective);
     const core::time_point deadline = this->deadline_of(request, matched, now);
-    if (matched.open && this->dispatcher.running_calls() > 0)
+    if (this->may_be_nested(request, matched, now))
     {
-        const core::duration expected = response_time.value_or(matched.latency_objective);
-        return this->refusing_new_calls && this->stop_end.cuts_off(now, expected, deadline);
+        return this->refusing_new_calls && this->stop_end.cuts_off(now, response_time, deadline);
     }
-    const core::duration expected =
-        std::max(response_time.value_or(core::duration{}), this->run_time_of(matched));
+    const core::duration expected = std::max(response_time, this->run_time_of(matched));
     return this->refusing_new_calls || this->stop_end.cuts_off(now, expected, deadline);
 }
 
+/// Returns whether a request may be a call that a run on the instance beside this daemon makes. Such a call
+/// has no key, and it ends with that run, where one of a caller has a deadline of its own. A request on an
+/// open route is also taken for one if its deadline tells nothing, or ends it before this process ends.
+bool request_router::may_be_nested(const exchange& request, const route& matched, core::time_point now) const
+{
+    const bool may_lack_key = matched.open || !this->config->has_customers();
+    if (!may_lack_key || this->dispatcher.running_calls() == 0)
+    {
+        return false;
+    }
+    const auto stated_ms =
+        parse_ms(http::find_header(request.head.headers, this->settings.names.deadline_ms));
+    if (!stated_ms)
+    {
+        return matched.open;
+    }
+    const core::time_point deadline = now + std::chrono::milliseconds{*stated_ms};
+    return (matched.open && this->stop_end.is_after(deadline)) || this->dispatcher.has_run_until(deadline);
+}
+
 /// Returns the longest likely time until the response to a request; none if the route had no requests.
 std::optional<core::duration> request_router::response_time_of(const route& matched) const
 {
@@ -290,9 +308,13 @@
     }
 }
 
-/// @returns the daemon to send a call to; null if no instance is available now
+/// @returns the daemon to send a call to; null if no instance is available now, or no time is left
 const std::string* request_router::choose_daemon(const routed_call& call) const
 {
+    if (this->stop_end.is_set() && this->stop_end.limit(call.deadline) <= core::boot_clock::now())
+    {
+        return nullptr;
+    }
     return this->placement.choose(call.message.service, call.tried_daemons,
                                   call.large_body ? large_body_choice : choice_options{});
 }
@@ -316,7 +338,7 @@
     this->calls_by_send.erase(call.message.id);
     call.message.id = this->next_send_id++;
     this->calls_by_send.emplace(call.message.id, call.id);
-    call.message.remaining_ms = to_ms(call.deadline - now);
+    call.message.remaining_ms = to_ms(this->stop_end.limit(call.deadline) - now);
     this->placement.record_sent(daemon_id);
     if (daemon_id == this->settings.daemon_id)
     {
--- a/packages/sidecar/tests/fake_upstream.hpp
+++ b/packages/sidecar/tests/fake_upstream.hpp
@@ -39,6 +39,7 @@
     std::atomic<bool> healthy{true};
     std::atomic<int> health_checks{0};
     std::atomic<int> requests{0};
+    std::atomic<int> last_deadline_ms{0}; ///< Of the last request; zero if it had none.
 
 private:
     void handle(const std::shared_ptr<exchange>& request)
@@ -51,6 +52,8 @@
                               .fields = this->healthy ? "X-Instance: i-1\r\nX-Load: 0,0,100\r\n" : ""});
             return;
         }
+        const std::string deadline{http::find_header(request->head.headers, "X-Deadline")};
+        this->last_deadline_ms = deadline.empty() ? 0 : std::stoi(deadline);
         ++this->requests;
         const auto timer = std::make_shared<asio::steady_timer>(
             this->io, std::chrono::milliseconds{std::stoi(target.substr(target.rfind('/') + 1))});
--- a/packages/sidecar/tests/instance_dispatcher_test.cpp
+++ b/packages/sidecar/tests/instance_dispatcher_test.cpp
@@ -27,6 +27,10 @@
     CPPUNIT_TEST(deregistration_after_draining_allows_no_further_calls);
     CPPUNIT_TEST(instance_that_was_never_given_work_gets_none_when_it_leaves);
     CPPUNIT_TEST(call_that_would_outlast_a_stop_is_not_started);
+    CPPUNIT_TEST(call_that_would_outlast_a_stop_is_not_started_after_a_single_run);
+    CPPUNIT_TEST(instance_is_given_no_more_time_than_the_daemon_has);
+    CPPUNIT_TEST(call_that_the_end_of_the_daemon_cut_short_may_be_repeated);
+    CPPUNIT_TEST(failure_of_a_call_that_the_end_of_the_daemon_cut_short_is_passed_on);
     CPPUNIT_TEST(large_responses_wait_while_memory_is_short_the_least_urgent_longest);
     CPPUNIT_TEST_SUITE_END();
 
@@ -200,6 +204,46 @@
         CPPUNIT_ASSERT_EQUAL(runs, this->server.requests.size());
     }
 
+    /// The mean run time starts at zero, so that after one run of 100 ms a stop expected the next one to take
+    /// 5 ms.
+    void call_that_would_outlast_a_stop_is_not_started_after_a_single_run()
+    {
+        this->server.on_request = [](scripted_instance::connection& peer, std::size_t)
+        {
+            const auto timer = std::make_shared<asio::steady_timer>(peer.executor(), 100ms);
+            timer->async_wait([timer, answered = peer.shared_from_this()](const error_code&)
+                              { answered->send(answer("a-1")); });
+        };
+        CPPUNIT_ASSERT(this->outcome_of("a-1") == reply_kind::response);
+        this->dispatcher.set_end(core::boot_clock::now() + 180ms);
+        CPPUNIT_ASSERT(this->outcome_of("a-2") == reply_kind::not_started);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->server.requests.size());
+    }
+
+    /// A run that takes longer than expected was cut off by the end of the daemon, while the instance went
+    /// on.
+    void instance_is_given_no_more_time_than_the_daemon_has()
+    {
+        this->server.on_request = [](scripted_instance::connection& peer, std::size_t)
+        { peer.send(answer("a-1")); };
+        this->dispatcher.set_end(core::boot_clock::now() + 2s);
+        CPPUNIT_ASSERT(this->outcome_of("a-1", 60s) == reply_kind::response);
+        const std::string& head = this->server.requests.front();
+        const int given_ms = std::stoi(head.substr(head.find("X-Deadline: ") + 12));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(given_ms), given_ms > 0 && given_ms < 2000);
+    }
+
+    /// The entry of the call lives on, and may send it to another instance.
+    void call_that_the_end_of_the_daemon_cut_short_may_be_repeated()
+    {
+        CPPUNIT_ASSERT(this->outcome_when_cut_short(true) == reply_kind::failed);
+    }
+
+    void failure_of_a_call_that_the_end_of_the_daemon_cut_short_is_passed_on()
+    {
+        CPPUNIT_ASSERT(this->outcome_when_cut_short(false) == reply_kind::response);
+    }
+
     void large_responses_wait_while_memory_is_short_the_least_urgent_longest()
     {
         constexpr std::size_t body_bytes = 8 * 1024 * 1024;
@@ -240,6 +284,32 @@
     }
 
 private:
+    /// Ends the daemon while the instance runs a call, which the instance then ends with 504.
+    reply_kind outcome_when_cut_short(bool idempotent)
+    {
+        this->server.on_request = [](scripted_instance::connection& peer, std::size_t)
+        {
+            const auto timer = std::make_shared<asio::steady_timer>(peer.executor(), 200ms);
+            timer->async_wait(
+                [timer, ended = peer.shared_from_this()](const error_code&)
+                {
+                    ended->send("HTTP/1.1 504 Gateway Timeout\r\nX-Attempt: a-1\r\nX-Signature: s\r\n"
+                                "Content-Length: 0\r\n\r\n");
+                });
+        };
+        this->dispatcher.set_end(core::boot_clock::now() + 250ms);
+        call_message call = make_call("a-1", 60s);
+        call.idempotent = idempotent;
+        std::optional<reply_message> reply;
+        this->dispatcher.submit(std::move(call),
+                                [&](reply_message received) { reply = std::move(received); });
+        while (!reply)
+        {
+            this->io.run_one_for(10ms);
+        }
+        return static_cast<reply_kind>(reply->kind);
+    }
+
     static call_message make_call(const std::string& attempt_id, std::chrono::milliseconds timeout)
     {
         return {.id = 1,
--- a/packages/sidecar/tests/planned_stop_test.cpp
+++ b/packages/sidecar/tests/planned_stop_test.cpp
@@ -54,6 +54,12 @@
     CPPUNIT_TEST(nested_call_that_cannot_end_in_time_is_not_passed_on);
     CPPUNIT_TEST(nested_call_with_a_deadline_before_the_end_is_passed_on);
     CPPUNIT_TEST(request_after_the_last_call_was_ended_is_refused);
+    CPPUNIT_TEST(late_order_of_a_caller_beside_a_run_is_not_passed_on);
+    CPPUNIT_TEST(order_of_a_caller_that_is_likely_to_outlast_a_stop_is_refused_beside_a_run);
+    CPPUNIT_TEST(nested_call_that_ends_with_its_run_is_served);
+    CPPUNIT_TEST(nested_call_without_customers_is_served);
+    CPPUNIT_TEST(late_nested_call_is_given_no_more_time_than_the_daemon_has);
+    CPPUNIT_TEST(request_is_given_no_more_time_than_the_daemon_has);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -197,6 +203,97 @@
         CPPUNIT_ASSERT_EQUAL(runs, this->upstream->requests.load());
     }
 
+    /// Review case 11: orders of an open route were passed on while the instance ran anything, if their usual
+    /// time fitted. Those that took longer were broken off at the end while their instances ran them.
+    void late_order_of_a_caller_beside_a_run_is_not_passed_on()
+    {
+        this->start_run_beside_other_daemon(15s, deadline_field(9000ms));
+        this->make_responses_known_as(50ms);
+        this->begin_stop();
+        std::this_thread::sleep_for(2700ms);
+        const int runs = this->upstream->requests + this->other_upstream->requests;
+        plain_client order{this->daemon->settings().outbound};
+        send(order, 2000ms, 2, deadline_field(15s));
+        CPPUNIT_ASSERT_EQUAL(503, order.read_status());
+        CPPUNIT_ASSERT_EQUAL(runs, this->upstream->requests + this->other_upstream->requests);
+    }
+
+    /// The same in the first part of a stop, where such orders were passed on whatever their usual time was.
+    void order_of_a_caller_that_is_likely_to_outlast_a_stop_is_refused_beside_a_run()
+    {
+        this->start_run_beside_other_daemon(15s, deadline_field(9000ms));
+        this->make_responses_known_as(1500ms);
+        this->begin_stop();
+        const int runs = this->upstream->requests + this->other_upstream->requests;
+        plain_client order{this->daemon->settings().outbound};
+        send(order, 5000ms, 2, deadline_field(15s));
+        CPPUNIT_ASSERT_EQUAL(503, order.read_status());
+        CPPUNIT_ASSERT_EQUAL(runs, this->upstream->requests + this->other_upstream->requests);
+    }
+
+    /// The other side of the refusals: calls that running work makes are answered.
+    void nested_call_that_ends_with_its_run_is_served()
+    {
+        constexpr core::duration own_time = 2500ms;
+        this->start_run_beside_other_daemon(4000ms, deadline_field(9000ms));
+        this->begin_stop();
+        for (int number = 2; number < 8; ++number)
+        {
+            plain_client instance{this->daemon->settings().outbound};
+            const core::duration left = this->left_of_run(9000ms);
+            // Some upstreams give all calls of a route the same time.
+            send(instance, 50ms, number, deadline_field(number % 2 == 0 ? left : std::min(left, own_time)));
+            CPPUNIT_ASSERT_EQUAL(200, instance.read_status());
+            std::this_thread::sleep_for(500ms);
+        }
+    }
+
+    /// In a deployment without customers no route is open; nested calls were refused like those of callers.
+    void nested_call_without_customers_is_served()
+    {
+        plain_client client{this->daemon->settings().outbound};
+        this->run_begin = core::boot_clock::now();
+        send(client, 3800ms, 1, deadline_field(9000ms));
+        this->wait_for_runs(1);
+        this->other.emplace(
+            running_daemon::options{.id = "other", .address = other_address, .bindings = test_bindings()});
+        this->other_upstream.emplace(upstream_address(other_address));
+        this->other->put_config(1, "1");
+        CPPUNIT_ASSERT(this->other->waits_for("event=instance_changed instance=i-1"));
+        this->daemon->connect_to(*this->other);
+        this->begin_stop();
+        std::this_thread::sleep_for(2700ms);
+        plain_client instance{this->daemon->settings().outbound};
+        send(instance, 50ms, 2, deadline_field(this->left_of_run(9000ms)));
+        CPPUNIT_ASSERT_EQUAL(200, instance.read_status());
+        plain_client late{this->daemon->settings().outbound};
+        send(late, 50ms, 3, deadline_field(15s));
+        CPPUNIT_ASSERT_EQUAL(503, late.read_status());
+    }
+
+    /// Its run may take longer than usual. Then the instance ends it, and no answer of it is cut off.
+    void late_nested_call_is_given_no_more_time_than_the_daemon_has()
+    {
+        this->start_run_beside_other_daemon(4000ms, deadline_field(9000ms));
+        this->begin_stop();
+        std::this_thread::sleep_for(2700ms);
+        plain_client instance{this->daemon->settings().outbound};
+        send(instance, 50ms, 2, deadline_field(this->left_of_run(9000ms)));
+        CPPUNIT_ASSERT_EQUAL(200, instance.read_status());
+        const int given_ms = this->other_upstream->last_deadline_ms;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(given_ms), given_ms > 0 && given_ms < 1400);
+    }
+
+    void request_is_given_no_more_time_than_the_daemon_has()
+    {
+        plain_client client{this->daemon->settings().outbound};
+        this->begin_stop();
+        send(client, 100ms, 1, deadline_field(15s));
+        CPPUNIT_ASSERT_EQUAL(200, client.read_status());
+        const int given_ms = this->upstream->last_deadline_ms;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(given_ms), given_ms > 0 && given_ms < 4100);
+    }
+
 private:
     static constexpr unsigned address = 5;
     static constexpr unsigned other_address = 6;
@@ -234,11 +331,13 @@
     }
 
     /// Starts a run on the instance beside the daemon, and then another daemon for its nested calls.
-    void start_run_beside_other_daemon(std::chrono::milliseconds run_time)
+    /// @param fields further header fields of its request
+    void start_run_beside_other_daemon(std::chrono::milliseconds run_time, const std::string& fields = {})
     {
         this->restart_with_open_route();
         this->caller.emplace(this->daemon->settings().outbound);
-        send(*this->caller, run_time, 1);
+        this->run_begin = core::boot_clock::now();
+        send(*this->caller, run_time, 1, fields);
         this->wait_for_runs(1); // On this instance, since no other one is known yet.
         this->start_other_daemon();
     }
@@ -284,10 +383,23 @@
         }
     }
 
-    static void send(plain_client& client, std::chrono::milliseconds run_time, int number)
+    static void send(plain_client& client, std::chrono::milliseconds run_time, int number,
+                     const std::string& fields = {})
     {
         client.request("POST", "/" + std::to_string(run_time.count()),
-                       "X-Attempt: a-" + std::to_string(number) + "\r\n");
+                       "X-Attempt: a-" + std::to_string(number) + "\r\n" + fields);
+    }
+
+    static std::string deadline_field(core::duration time)
+    {
+        return "X-Deadline: " +
+               std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) + "\r\n";
+    }
+
+    /// Returns the time until the deadline of the run that the test has started, as its instance would.
+    core::duration left_of_run(core::duration deadline) const
+    {
+        return deadline - (core::boot_clock::now() - this->run_begin);
     }
 
     /// Sends requests until the mean run time is close to the one given.
@@ -318,6 +430,7 @@
     std::optional<fake_upstream> other_upstream; ///< Set in tests with a second daemon.
     std::optional<running_daemon> other;
     std::optional<plain_client> caller; ///< Its request runs on the instance beside the daemon.
+    core::time_point run_begin{};
     int runs_before = 0;
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(planned_stop_test);
