Leave connections open in a stop until a response ends them

Callers saw: calls that a run made on a new connection, 3 s and more after SIGTERM, got no answer; the connection was closed within a millisecond.

Cause: continue_stop() closed idle connections on every tick from 2.5 s on, and a connection that has been accepted and whose request has not been read looks idle. So does a kept one with a request on its way.

Change: from 2.5 s on a response ends its connection; idle ones stay open until the last step, and are closed there only if nothing has arrived.

Evidence: planned_stop_test::connection_that_is_new_or_kept_is_open_for_a_ late_nested_call fails on (no response) and passes now.

--- a/packages/sidecar/include/laburnumreach/sidecar/http_listener.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/http_listener.hpp
@@ -28,8 +28,12 @@
     /// second.
     void check_timeouts(core::time_point now);
 
-    /// Closes each connection after its pending responses, and idle ones at once.
-    void close_when_answered();
+    /// Closes each connection after the responses that it waits for, or after its next one. One that is idle
+    /// stays open: a request may be on its way, and its client could not tell whether that was read.
+    void close_after_responses() { this->context->closing = true; }
+
+    /// Closes connections without an open request on which nothing has arrived.
+    void close_idle_connections();
 
     /// Sets the largest number of connections.
     void set_max_connections(std::size_t count) { this->context->max_connections = count; }
--- a/packages/sidecar/include/laburnumreach/sidecar/server_connection.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/server_connection.hpp
@@ -39,7 +39,7 @@
     std::uint64_t max_body_bytes = std::numeric_limits<std::uint64_t>::max();
     /// Largest number of connections.
     std::size_t max_connections = std::numeric_limits<std::size_t>::max();
-    /// Connections are closed after their pending responses.
+    /// Connections are closed after their next response.
     bool closing = false;
     /// Number of received requests without a response yet.
     std::size_t unanswered = 0;
@@ -79,7 +79,7 @@
     /// Closes the connection if its client has accepted no byte of a response lately.
     void close_if_unread(core::time_point now);
 
-    /// Closes the connection if it has no open request and nothing to send.
+    /// Closes the connection if it has no open request, nothing to send and nothing to read.
     void close_if_idle();
 
     /// Closes the connection. Its open requests are cancelled.
--- a/packages/sidecar/src/http_listener.cpp
+++ b/packages/sidecar/src/http_listener.cpp
@@ -128,9 +128,8 @@
     }
 }
 
-void http_listener::close_when_answered()
+void http_listener::close_idle_connections()
 {
-    this->context->closing = true;
     for (const auto& [key, connection] : this->connections)
     {
         connection->close_if_idle();
--- a/packages/sidecar/src/server_connection.cpp
+++ b/packages/sidecar/src/server_connection.cpp
@@ -122,8 +122,9 @@
 
 void server_connection::close_if_idle()
 {
+    error_code ignored; // A connection that is broken has nothing to read.
     if (this->open_exchanges.empty() && this->incoming == nullptr && this->received.empty() &&
-        this->output.idle())
+        this->output.idle() && this->socket.available(ignored) == 0)
     {
         this->close();
     }
--- a/packages/sidecar/src/sidecar_daemon_lifecycle.cpp
+++ b/packages/sidecar/src/sidecar_daemon_lifecycle.cpp
@@ -87,7 +87,7 @@
     }
     if (elapsed > request_grace_time)
     {
-        this->outbound->close_when_answered();
+        this->outbound->close_after_responses();
         this->router.refuse_new_calls();
         this->dispatcher.refuse_new_calls();
     }
@@ -112,6 +112,10 @@
             link->announce_departure();
         }
     }
+    if (this->departure_announced)
+    {
+        this->outbound->close_idle_connections();
+    }
     if (this->departure_announced && now - *this->departure_announced >= departure_time)
     {
         this->io.stop();
--- a/packages/sidecar/tests/planned_stop_test.cpp
+++ b/packages/sidecar/tests/planned_stop_test.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(nested_call_without_customers_is_served);
     CPPUNIT_TEST(late_nested_call_is_given_no_more_time_than_the_daemon_has);
     CPPUNIT_TEST(request_is_given_no_more_time_than_the_daemon_has);
+    CPPUNIT_TEST(connection_that_is_new_or_kept_is_open_for_a_late_nested_call);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -294,6 +295,23 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(given_ms), given_ms > 0 && given_ms < 4100);
     }
 
+    /// A connection that was accepted and whose request had not been read yet looked idle, and was closed.
+    void connection_that_is_new_or_kept_is_open_for_a_late_nested_call()
+    {
+        this->start_run_beside_other_daemon(4000ms, deadline_field(9000ms));
+        plain_client kept{this->daemon->settings().outbound};
+        send(kept, 50ms, 2, deadline_field(this->left_of_run(9000ms)));
+        CPPUNIT_ASSERT_EQUAL(200, kept.read_status());
+        this->begin_stop();
+        std::this_thread::sleep_for(2700ms);
+        plain_client fresh{this->daemon->settings().outbound};
+        std::this_thread::sleep_for(100ms);
+        send(kept, 50ms, 3, deadline_field(this->left_of_run(9000ms)));
+        send(fresh, 50ms, 4, deadline_field(this->left_of_run(9000ms)));
+        CPPUNIT_ASSERT_EQUAL(200, kept.read_status());
+        CPPUNIT_ASSERT_EQUAL(200, fresh.read_status());
+    }
+
 private:
     static constexpr unsigned address = 5;
     static constexpr unsigned other_address = 6;
