Acknowledge the departure of an instance only when others hold it

Cause: nothing on the VM outlives a process, so only the one that had acknowledged the departure knew of it.

A daemon that connects tells what it holds before its first call, and a restarted one reads the store. A health answer never counts for an incarnation whose departure is known. A later incarnation under the id withdraws it.

The model test also plays false health answers, and tells each new process what another daemon holds.

--- a/packages/sidecar/include/laburnumreach/sidecar/frame_stream.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/frame_stream.hpp
@@ -33,6 +33,8 @@
     token_request,
     token_grant,
     config_request,
+    departures,
+    departures_held,
 };
 
 /// A connection between two daemons that carries frames: length of the body (4 bytes, big endian), type
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_dispatcher.hpp
@@ -82,6 +82,10 @@
     /// Reacts to a change of the instance's state.
     void on_instance_changed();
 
+    /// Refuses calls that arrive after the instance began to leave, since it did so long ago. Call it before
+    /// on_instance_changed().
+    void forbid_late_calls() { this->gave_work = false; }
+
     /// Reports from now on that this instance accepts no work, so that senders choose other ones. Calls that
     /// still arrive are run.
     void announce_draining() { this->draining = true; }
--- a/packages/sidecar/include/laburnumreach/sidecar/instance_state.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_state.hpp
@@ -2,11 +2,12 @@
 #define LABURNUMREACH_SIDECAR_INSTANCE_STATE_HPP
 
 #include "laburnumreach/core/time.hpp"
+#include "laburnumreach/sidecar/instance_departure.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace laburnumreach::sidecar
 {
@@ -37,10 +38,11 @@
 /// checks. Deterministic.
 ///
 /// Only this daemon sends requests to the instance, so it alone decides whether the instance gets new work.
-/// An acknowledged departure binds every later process of the daemon, but a process knows only what it was
-/// told itself, and a heartbeat may be late. So a heartbeat gives work to an incarnation only if that started
-/// after one that this process knew as not leaving; any other one is a claim, which the instance's own answer
-/// to a health check confirms.
+/// An acknowledged departure binds every later process of the daemon, which is told of it by whoever keeps
+/// it. An incarnation whose departure is known gets no work again, whatever health checks tell. Beyond that,
+/// a heartbeat may be late, so it gives work to an incarnation only if that started after one that this
+/// process knew as not leaving; any other one is a claim, which the instance's own answer to a health check
+/// confirms.
 class instance_state
 {
 public:
@@ -64,9 +66,20 @@
     bool apply(const instance_heartbeat& heartbeat);
 
     /// Applies a deregistration: the instance gets no more new work.
+    /// @param unix_ms time of day; incarnations that start later are not concerned. Zero if unknown: then a
+    ///        health check tells whether a later one is.
     /// @returns whether the current instance leaves from now on; false if it was leaving already, or if the
     ///          id names another one
-    bool deregister(std::string_view id, core::time_point now = {});
+    bool deregister(std::string_view id, core::time_point now = {}, std::uint64_t unix_ms = 0);
+
+    /// Applies a departure that an earlier process of the daemon acknowledged.
+    /// @returns whether the current instance leaves from now on
+    bool recall(const instance_departure& departure);
+
+    /// Returns the latest start of an incarnation with this id that leaves, or that may leave without having
+    /// told its start.
+    /// @returns zero if none is known
+    std::uint64_t last_departed_start(std::string_view id) const;
 
     /// Applies the instance's answer to a health check that was sent after the last announced departure: the
     /// instance is healthy and not leaving.
@@ -107,8 +120,18 @@
     bool apply_same(const instance_heartbeat& heartbeat);
     bool contest(const instance_heartbeat& heartbeat);
     bool adopt(const instance_heartbeat& incarnation, bool is_leaving);
-    bool has_departed(std::string_view id) const;
-    void record_departure(std::string_view id);
+    /// What is known of the departure of instances with one id.
+    struct departed_instance
+    {
+        instance_departure departure;
+        /// Whether later incarnations may have been meant too, until a health check tells otherwise.
+        bool may_include_later = false;
+    };
+
+    const departed_instance* find_departed(std::string_view id) const;
+    bool may_have_departed(const instance_heartbeat& heartbeat) const;
+    bool has_departed(const instance_heartbeat& heartbeat) const;
+    void record_departure(const departed_instance& added);
 
     options settings;
     std::optional<instance_heartbeat> current;
@@ -122,9 +145,9 @@
     /// own lifetime.
     bool knew_working_instance;
     core::time_point doubt_since{}; ///< Time of the last event that a claim contradicts.
-    /// Ids of the last deregistrations, which do not tell the start time of the incarnation that leaves, and
-    /// of draining heartbeats whose order is unknown.
-    std::deque<std::string> departed;
+    /// Whether the current incarnation sent a ready heartbeat after all that earlier processes acknowledged.
+    bool current_is_proven = false;
+    std::vector<departed_instance> departed;
 };
 
 } // namespace laburnumreach::sidecar
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_link.hpp
@@ -31,6 +31,12 @@
     /// Returns the tokens to transfer to a daemon with a probe.
     std::function<std::vector<customer_tokens>(const std::string& daemon_id)> take_tokens_for;
     std::function<void(const token_grant_message&)> on_token_grant;
+    /// Returns the departures to tell a daemon; no value if there are none.
+    std::function<std::optional<departures_message>(const std::string& daemon_id)> departures_for =
+        [](const std::string&) { return std::nullopt; };
+    /// Called when a daemon has confirmed that it holds the announced departures up to a revision.
+    std::function<void(const std::string& daemon_id, std::uint64_t revision)> on_departures_held =
+        [](const std::string&, std::uint64_t) {};
 };
 
 /// Connection to one other daemon that carries calls to the instance on its VM.
@@ -52,6 +58,9 @@
     /// Tells the other daemon that this one leaves the fleet. Has no effect while the link is not usable.
     void announce_departure();
 
+    /// Tells the other daemon which instances leave. While the link is down, the next connection does.
+    void send_departures();
+
     /// Returns whether the other daemon announced at least `time` ago that it leaves, and is not connected.
     bool has_left_for(core::duration time, core::time_point now) const;
 
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_messages.hpp
@@ -3,6 +3,7 @@
 
 #include "laburnumreach/core/time.hpp"
 #include "laburnumreach/protocol/message_codec.hpp"
+#include "laburnumreach/sidecar/instance_departure.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -196,6 +197,22 @@
     std::string document;
 };
 
+/// Departures of instances, sent by the connecting daemon after its hello message and after each change.
+struct departures_message
+{
+    std::uint64_t revision = 0;                ///< Number of the sender's last change.
+    std::vector<instance_departure> announced; ///< Of the instance beside the sender.
+    std::vector<std::string> withdrawn;        ///< Ids of instances beside the sender that work again.
+    /// What the receiver, or an earlier process of it, told the sender of the instance beside the receiver.
+    std::vector<instance_departure> remembered;
+};
+
+/// Reply to a departures_message: the sender keeps what was announced.
+struct departures_held_message
+{
+    std::uint64_t revision = 0; ///< Of the departures_message.
+};
+
 /// All daemons known to the sender, the sender first.
 struct members_message
 {
@@ -207,6 +224,7 @@
 bool is_valid(const probe_message& message);
 bool is_valid(const probe_reply_message& message);
 bool is_valid(const token_request_message& message);
+bool is_valid(const departures_message& message);
 
 /// The other messages carry no such values.
 template <typename Message>
@@ -363,6 +381,26 @@
     static auto fields(auto& m) { return std::tie(m.version, m.document); }
 };
 
+template <>
+struct message_layout<sidecar::instance_departure>
+{
+    static auto fields(auto& m) { return std::tie(m.instance_id, m.last_start_ms); }
+};
+
+template <>
+struct message_layout<sidecar::departures_message>
+{
+    static constexpr decode_limits limits{.max_elements = 64, .max_depth = 4};
+
+    static auto fields(auto& m) { return std::tie(m.revision, m.announced, m.withdrawn, m.remembered); }
+};
+
+template <>
+struct message_layout<sidecar::departures_held_message>
+{
+    static auto fields(auto& m) { return std::tie(m.revision); }
+};
+
 template <>
 struct message_layout<sidecar::members_message>
 {
--- a/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/peer_server.hpp
@@ -43,6 +43,9 @@
         std::function<token_grant_message(const token_request_message&)> on_token_request;
         /// Called when a client meets a limit, with the name of the limit.
         std::function<void(std::string_view limit)> on_limit = [](std::string_view) {};
+        /// Called when a daemon tells which instances leave; what it announces is to be kept.
+        std::function<void(const member_record& sender, const departures_message&)> on_departures =
+            [](const member_record&, const departures_message&) {};
     };
 
     peer_server(instance_dispatcher& call_dispatcher, fleet_state& known_fleet, event_log& log,
--- a/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/sidecar_daemon.hpp
@@ -5,6 +5,8 @@
 #include "laburnumreach/sidecar/body_memory.hpp"
 #include "laburnumreach/sidecar/call_ratio_estimator.hpp"
 #include "laburnumreach/sidecar/connection_limits.hpp"
+#include "laburnumreach/sidecar/departure_memory.hpp"
+#include "laburnumreach/sidecar/departure_register.hpp"
 #include "laburnumreach/sidecar/fleet_state.hpp"
 #include "laburnumreach/sidecar/http_listener.hpp"
 #include "laburnumreach/sidecar/instance_dispatcher.hpp"
@@ -60,6 +62,14 @@
     /// Thread safe.
     void post_ratios(std::vector<call_ratio> loaded);
 
+    /// Passes departures that an earlier process of this daemon wrote to the store to the traffic thread.
+    /// Thread safe.
+    void post_departures(std::vector<instance_departure> loaded);
+
+    /// Passes the revision of the departures that were written to the store to the traffic thread. Thread
+    /// safe.
+    void post_departures_written(std::uint64_t revision);
+
     /// Passes whether the platform's store works to the traffic thread. Thread safe.
     void post_store_works(bool works);
 
@@ -73,6 +83,11 @@
     /// fleet. Set it before run().
     std::function<void(std::span<const call_ratio>)> ratios_measured = [](std::span<const call_ratio>) {};
 
+    /// Called with the departures to write to the store, and their revision, after each change. Set it before
+    /// run().
+    std::function<void(std::span<const instance_departure>, std::uint64_t revision)> departures_changed =
+        [](std::span<const instance_departure>, std::uint64_t) {};
+
     const member_record& own_record() const noexcept { return this->fleet.own(); }
 
 private:
@@ -85,6 +100,17 @@
         std::uint64_t max_body_bytes = std::numeric_limits<std::uint64_t>::max();
     };
 
+    /// Announcement of a departure that is not answered yet.
+    struct unacknowledged_departure
+    {
+        std::shared_ptr<exchange> request;
+        std::uint64_t revision = 0; ///< In the departure_register.
+        core::time_point received{};
+    };
+
+    /// Name of the store among the holders of departures; no daemon has it, since it is no host name.
+    static constexpr const char* store_holder = "(store)";
+
     void open_http(std::optional<http_listener>& listener, const config::endpoint& address, handler handle,
                    const http_limits& limits);
     void count_limit(std::string_view limit);
@@ -108,6 +134,13 @@
     void on_instance_found(const instance_heartbeat& answer);
     void on_instance_changed();
     void refresh_own_status();
+    void acknowledge(exchange& announcement) const;
+    void acknowledge_departure(const std::shared_ptr<exchange>& announcement, const std::string& instance_id);
+    void acknowledge_departures(core::time_point now);
+    void share_departures();
+    std::optional<departures_message> departures_for(const std::string& daemon_id) const;
+    void on_departures(const member_record& sender, const departures_message& message);
+    void recall_departures(std::span<const instance_departure> recalled, const std::string& source);
     void begin_stop();
     void continue_stop(core::time_point now);
     std::shared_ptr<peer_link_callbacks> make_link_callbacks();
@@ -124,6 +157,10 @@
     sidecar_metrics counters;
     instance_state instance;
     instance_probe probe;
+    departure_register departures;          ///< Of the instances beside this daemon.
+    departure_memory remembered_departures; ///< Of the instances beside other daemons.
+    std::uint64_t shared_departures = 0;    ///< Revision that the other daemons and the store were told.
+    std::vector<unacknowledged_departure> unacknowledged;
     fleet_state fleet;
     instance_dispatcher dispatcher;
     peer_server peers;
--- a/packages/sidecar/include/laburnumreach/sidecar/store_watcher.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/store_watcher.hpp
@@ -54,7 +54,8 @@
 template <typename Store>
 concept fleet_store = requires(Store store, const member_record& record, std::uint64_t revision,
                                std::chrono::milliseconds wait, bool allow_stale,
-                               std::span<const call_ratio> ratios)
+                               std::span<const call_ratio> ratios,
+                               std::span<const instance_departure> departures)
 {
     {
         store.announce(record)
@@ -62,6 +63,12 @@
     {
         store.publish_ratios(record.daemon_id, ratios)
         } -> std::same_as<core::result<bool>>;
+    {
+        store.write_departures(record.daemon_id, departures)
+        } -> std::same_as<core::result<bool>>;
+    {
+        store.read_departures(record.daemon_id)
+        } -> std::same_as<core::result<std::vector<instance_departure>>>;
     {
         store.list_members(allow_stale)
         } -> std::same_as<core::result<member_listing>>;
@@ -85,19 +92,29 @@
     std::function<void(bool works)> store_works;
     /// Called after each call.
     std::function<void(const store_call_report&)> store_call = [](const store_call_report&) {};
+    /// Called once with the departures that an earlier process of this daemon wrote. Null if there was none;
+    /// they are not read then.
+    std::function<void(std::vector<instance_departure>)> recalled_departures;
+    /// Called when departures have been written, with their revision.
+    std::function<void(std::uint64_t revision)> departures_written = [](std::uint64_t) {};
 };
 
 /// Registers this daemon in the store and watches the configuration and the members there. Runs on the
 /// control thread; the fleet keeps working while the store is unavailable.
 ///
-/// At start every daemon reads the configuration, writes its record and lists the members. Afterwards it
-/// watches the store according to its store_watch_role.
+/// At start every daemon reads the configuration and the departures that an earlier process acknowledged,
+/// writes its record and lists the members. Afterwards it watches the store according to its
+/// store_watch_role, and writes departures when they change.
 template <fleet_store Store>
 class store_watcher
 {
 public:
     store_watcher(Store& watched, member_record own_record, store_watcher_callbacks reports, event_log& log)
-        : store(watched), own(std::move(own_record)), callbacks(std::move(reports)), events(log)
+        : store(watched),
+          own(std::move(own_record)),
+          callbacks(std::move(reports)),
+          events(log),
+          recalled(!this->callbacks.recalled_departures)
     {
     }
 
@@ -107,7 +124,8 @@
         this->running = true;
         while (!this->stopping)
         {
-            if (this->initialized() && this->role == store_watch_role::none)
+            if (this->initialized() && this->role == store_watch_role::none &&
+                !this->has_unwritten_departures())
             {
                 this->wait_for_role();
             }
@@ -155,6 +173,16 @@
         this->ratios.assign(current.begin(), current.end());
     }
 
+    /// Sets the departures to write. Thread safe.
+    /// @param revision increases with each call
+    void set_departures(std::span<const instance_departure> current, std::uint64_t current_revision)
+    {
+        const std::lock_guard lock{this->mutex};
+        this->departures.assign(current.begin(), current.end());
+        this->departures_revision = current_revision;
+        this->wake_condition.notify_all();
+    }
+
     /// Returns whether the configuration was read, the own record written and the members listed.
     bool initialized() const { return this->revision && this->announced && this->last_listing; }
 
@@ -178,6 +206,14 @@
         }
         if (now >= this->other_calls_not_before)
         {
+            if (!this->recalled)
+            {
+                return this->record_other_call("recall", now, this->recall_departures());
+            }
+            if (this->has_unwritten_departures())
+            {
+                return this->record_other_call("departures", now, this->write_departures());
+            }
             if (!this->announced)
             {
                 return this->record_other_call("announce", now, this->announce());
@@ -248,13 +284,69 @@
         return written ? std::string{} : written.error().message;
     }
 
+    /// @returns the cause of a failure; empty on success
+    std::string recall_departures()
+    {
+        auto found = this->store.read_departures(this->own.daemon_id);
+        if (!found && found.error().code != core::error_code::io)
+        {
+            return found.error().message;
+        }
+        this->recalled = true;
+        if (!found)
+        {
+            // Another writer's object, which would hold up all other calls.
+            this->events.state_event("departures_unreadable", {{"cause", found.error().message}});
+            return {};
+        }
+        this->callbacks.recalled_departures(std::move(*found));
+        return {};
+    }
+
+    bool has_unwritten_departures()
+    {
+        const std::lock_guard lock{this->mutex};
+        return this->departures_revision > this->written_departures;
+    }
+
+    /// @returns the cause of a failure; empty on success
+    std::string write_departures()
+    {
+        std::vector<instance_departure> current;
+        std::uint64_t current_revision = 0;
+        {
+            const std::lock_guard lock{this->mutex};
+            current = this->departures;
+            current_revision = this->departures_revision;
+        }
+        const auto written = this->store.write_departures(this->own.daemon_id, current);
+        if (!written)
+        {
+            return written.error().message;
+        }
+        {
+            const std::lock_guard lock{this->mutex};
+            this->written_departures = current_revision;
+        }
+        this->callbacks.departures_written(current_revision);
+        return {};
+    }
+
     bool is_primary() const { return this->role == store_watch_role::primary; }
 
     void wait_for_role()
     {
         std::unique_lock lock{this->mutex};
         this->wake_condition.wait(lock,
-                                  [this] { return this->stopping || this->role != store_watch_role::none; });
+                                  [this]
+                                  {
+                                      return this->stopping || this->role != store_watch_role::none ||
+                                             this->departures_revision > this->written_departures;
+                                  });
+        if (this->role == store_watch_role::none)
+        {
+            return;
+        }
         // The connection was idle and may have gone silent, and the history may be gone: a read shows it
         // sooner than a watch.
         this->revision.reset();
@@ -311,7 +403,7 @@
     std::string await_change(core::time_point now)
     {
         std::chrono::milliseconds wait = this->is_primary() ? primary_watch_timeout : watch_timeout;
-        if (!this->initialized())
+        if (!this->initialized() || this->has_unwritten_departures())
         {
             wait = std::min(wait, std::chrono::ceil<std::chrono::milliseconds>(
                                       std::max(this->other_calls_not_before - now, core::duration{})));
@@ -400,7 +492,11 @@
     std::condition_variable wake_condition;
     std::optional<std::uint64_t> revision;
     std::optional<core::time_point> last_listing;
-    std::vector<call_ratio> ratios; ///< Guarded by the mutex.
+    std::vector<call_ratio> ratios;             ///< Guarded by the mutex.
+    std::vector<instance_departure> departures; ///< Guarded by the mutex.
+    std::uint64_t departures_revision = 0;      ///< Guarded by the mutex.
+    std::uint64_t written_departures = 0;       ///< Revision; guarded by the mutex.
+    bool recalled;                              ///< The departures of earlier processes were read.
     change_tracker<call_ratio> published_ratios{min_ratio_change};
     core::time_point last_publish{};
     std::atomic<store_watch_role> role{store_watch_role::none};
--- a/packages/sidecar/src/instance_state.cpp
+++ b/packages/sidecar/src/instance_state.cpp
@@ -19,13 +19,20 @@
     {
         return false;
     }
+    if (heartbeat.draining)
+    {
+        this->doubt_since = std::max(this->doubt_since, heartbeat.received);
+        this->record_departure(
+            {.departure = {.instance_id = heartbeat.id, .last_start_ms = heartbeat.started_ms},
+             .may_include_later = heartbeat.started_ms == 0});
+    }
     if (!this->current)
     {
         if (heartbeat.draining)
         {
             return this->adopt(heartbeat, true);
         }
-        return this->knew_working_instance && !this->has_departed(heartbeat.id)
+        return this->knew_working_instance && !this->may_have_departed(heartbeat)
                    ? this->adopt(heartbeat, false)
                    : this->contest(heartbeat);
     }
@@ -37,7 +44,7 @@
         // Late, unless the clock was set back before the instance started.
         return heartbeat.id != this->current->id && !heartbeat.draining && this->contest(heartbeat);
     case relation::later:
-        if (heartbeat.draining || (this->knew_working_instance && !this->has_departed(heartbeat.id) &&
+        if (heartbeat.draining || (this->knew_working_instance && !this->may_have_departed(heartbeat) &&
                                    heartbeat.service == this->current->service))
         {
             return this->adopt(heartbeat, heartbeat.draining);
@@ -46,10 +53,6 @@
     case relation::unordered:
         break;
     }
-    if (heartbeat.draining)
-    {
-        this->record_departure(heartbeat.id);
-    }
     return this->contest(heartbeat);
 }
 
@@ -97,6 +100,17 @@
 ///          heartbeat arrived too late to have been sent before what it contradicts
 bool instance_state::contest(const instance_heartbeat& heartbeat)
 {
+    const bool is_proven = heartbeat.received - this->doubt_since >= max_heartbeat_delay;
+    if (!heartbeat.draining && this->has_departed(heartbeat))
+    {
+        if (!is_proven)
+        {
+            return false; // No health check can tell otherwise.
+        }
+        this->adopt(heartbeat, false);
+        this->current_is_proven = true;
+        return true;
+    }
     if (this->claim)
     {
         const bool same = this->claim->id == heartbeat.id && this->claim->started_ms == heartbeat.started_ms;
@@ -106,9 +120,11 @@
             return false;
         }
     }
-    if (heartbeat.id == this->confirmed_id || heartbeat.received - this->doubt_since >= max_heartbeat_delay)
+    if (heartbeat.id == this->confirmed_id || is_proven)
     {
-        return this->adopt(heartbeat, heartbeat.draining);
+        this->adopt(heartbeat, heartbeat.draining);
+        this->current_is_proven = is_proven;
+        return true;
     }
     this->claim = heartbeat;
     return false;
@@ -123,36 +139,91 @@
     this->doubt_since = std::max(this->doubt_since, incarnation.received);
     this->claim.reset();
     this->confirmed_id.clear();
-    std::erase(this->departed, incarnation.id);
+    this->current_is_proven = false;
+    if (!is_leaving)
+    {
+        std::erase_if(this->departed, [&](const departed_instance& entry)
+                      { return entry.departure.instance_id == incarnation.id; });
+    }
     return true;
 }
 
-bool instance_state::has_departed(std::string_view id) const
+const instance_state::departed_instance* instance_state::find_departed(std::string_view id) const
+{
+    const auto found =
+        std::find_if(this->departed.begin(), this->departed.end(),
+                     [id](const departed_instance& entry) { return entry.departure.instance_id == id; });
+    return found == this->departed.end() ? nullptr : &*found;
+}
+
+/// Returns whether the incarnation of a heartbeat may be one that leaves, as far as its start time tells.
+bool instance_state::may_have_departed(const instance_heartbeat& heartbeat) const
 {
-    return std::find(this->departed.begin(), this->departed.end(), id) != this->departed.end();
+    const departed_instance* const found = this->find_departed(heartbeat.id);
+    return found != nullptr && (found->may_include_later || this->has_departed(heartbeat));
 }
 
-void instance_state::record_departure(std::string_view id)
+/// Returns whether the incarnation of a heartbeat is one that leaves.
+bool instance_state::has_departed(const instance_heartbeat& heartbeat) const
 {
-    constexpr std::size_t max_departed = 8; // Several incarnations in a row, or requests of other programs.
+    const std::uint64_t last_start = this->last_departed_start(heartbeat.id);
+    return last_start != 0 && heartbeat.started_ms <= last_start;
+}
+
+std::uint64_t instance_state::last_departed_start(std::string_view id) const
+{
+    const departed_instance* const found = this->find_departed(id);
+    return found == nullptr ? 0 : found->departure.last_start_ms;
+}
+
+void instance_state::record_departure(const departed_instance& added)
+{
+    departed_instance merged = added;
+    if (const departed_instance* const known = this->find_departed(added.departure.instance_id))
+    {
+        merged.departure.last_start_ms =
+            std::max(merged.departure.last_start_ms, known->departure.last_start_ms);
+        merged.may_include_later = merged.may_include_later || known->may_include_later;
+    }
+    std::erase_if(this->departed, [&](const departed_instance& entry)
+                  { return entry.departure.instance_id == added.departure.instance_id; });
+    this->departed.push_back(merged);
+    if (this->departed.size() > max_departures)
+    {
+        this->departed.erase(
+            std::min_element(this->departed.begin(), this->departed.end(),
+                             [](const departed_instance& left, const departed_instance& right)
+                             { return is_earlier(left.departure, right.departure); }));
+    }
     this->confirmed_id.clear();
-    if (!this->has_departed(id))
+    if (this->claim && !this->claim->draining && this->has_departed(*this->claim))
     {
-        this->departed.emplace_back(id);
+        this->claim.reset();
     }
-    if (this->departed.size() > max_departed)
+}
+
+bool instance_state::recall(const instance_departure& departure)
+{
+    const bool is_current = this->current && this->current->id == departure.instance_id;
+    if (is_current && this->current_is_proven)
     {
-        this->departed.pop_front();
+        return false;
     }
+    this->record_departure({.departure = departure, .may_include_later = departure.last_start_ms == 0});
+    const bool leaves = is_current && !this->leaving && this->may_have_departed(*this->current);
+    this->leaving = this->leaving || leaves;
+    return leaves;
 }
 
-bool instance_state::deregister(std::string_view id, core::time_point now)
+bool instance_state::deregister(std::string_view id, core::time_point now, std::uint64_t unix_ms)
 {
     this->doubt_since = std::max(this->doubt_since, now);
     bool changed = false;
+    std::uint64_t last_start_ms = unix_ms;
     if (this->current && this->current->id == id)
     {
         changed = !std::exchange(this->leaving, true);
+        last_start_ms = std::max(last_start_ms, this->current->started_ms);
     }
     else if (!this->current && this->claim && this->claim->id == id)
     {
@@ -163,7 +234,8 @@
         this->claim.reset();
     }
     // It may be an incarnation whose first heartbeat has not arrived yet.
-    this->record_departure(id);
+    this->record_departure({.departure = {.instance_id = std::string{id}, .last_start_ms = last_start_ms},
+                            .may_include_later = unix_ms == 0});
     return changed;
 }
 
@@ -180,7 +252,7 @@
         this->claim.reset(); // Its heartbeat was late, or did not come from the instance.
         return false;
     }
-    if (this->has_departed(answer.id) || answer.slots == 0)
+    if (this->find_departed(answer.id) != nullptr || answer.slots == 0)
     {
         // Its next heartbeat tells the start time and the number of slots.
         this->confirmed_id = answer.id;
--- a/packages/sidecar/src/peer_link.cpp
+++ b/packages/sidecar/src/peer_link.cpp
@@ -125,6 +125,19 @@
         hello.pending_calls.push_back(id);
     }
     this->stream->send(frame_type::hello, hello);
+    this->send_departures(); // Before the first call, so that the other daemon knows whether it may start.
+}
+
+void peer_link::send_departures()
+{
+    if (this->state != phase::handshake && this->state != phase::connected)
+    {
+        return;
+    }
+    if (const auto departures = this->callbacks->departures_for(this->peer.daemon_id))
+    {
+        this->stream->send(frame_type::departures, *departures);
+    }
 }
 
 void peer_link::on_frame(frame_type type, std::span<const std::uint8_t> body)
@@ -163,6 +176,13 @@
             this->callbacks->on_token_grant(*message);
         }
         break;
+    case frame_type::departures_held:
+        if (const auto message =
+                read_frame<departures_held_message>(body, this->peer.daemon_id, this->events))
+        {
+            this->callbacks->on_departures_held(this->peer.daemon_id, message->revision);
+        }
+        break;
     case frame_type::status:
         if (const auto message = read_frame<instance_status>(body, this->peer.daemon_id, this->events))
         {
--- a/packages/sidecar/src/peer_messages.cpp
+++ b/packages/sidecar/src/peer_messages.cpp
@@ -50,6 +50,18 @@
                        { return is_amount(entry.calls_per_run, max_calls_per_run); });
 }
 
+bool is_valid(const departures_message& message)
+{
+    const auto list_is_valid = [](const std::vector<instance_departure>& departures)
+    {
+        return departures.size() <= max_departures &&
+               std::all_of(departures.begin(), departures.end(),
+                           [](const instance_departure& entry) { return is_valid(entry); });
+    };
+    return list_is_valid(message.announced) && list_is_valid(message.remembered) &&
+           message.withdrawn.size() <= max_departures;
+}
+
 bool is_valid(const token_request_message& message)
 {
     return is_amount(message.urgency, 1.0);
--- a/packages/sidecar/src/peer_server.cpp
+++ b/packages/sidecar/src/peer_server.cpp
@@ -133,6 +133,14 @@
             stream->send(frame_type::token_grant, this->handlers.on_token_request(*message));
         }
     }
+    else if (type == frame_type::departures)
+    {
+        if (const auto message = read_frame<departures_message>(body, daemon_id, this->events))
+        {
+            this->handlers.on_departures(found->second.sender, *message);
+            stream->send(frame_type::departures_held, departures_held_message{.revision = message->revision});
+        }
+    }
     else if (type == frame_type::probe)
     {
         if (const auto message = read_frame<probe_message>(body, daemon_id, this->events))
--- a/packages/sidecar/src/sidecar_daemon.cpp
+++ b/packages/sidecar/src/sidecar_daemon.cpp
@@ -90,7 +90,9 @@
              },
              .on_token_request = [this](const token_request_message& request)
              { return this->router.admission().on_token_request(request); },
-             .on_limit = [this](std::string_view limit) { this->count_limit(limit); }},
+             .on_limit = [this](std::string_view limit) { this->count_limit(limit); },
+             .on_departures = [this](const member_record& sender, const departures_message& message)
+             { this->on_departures(sender, message); }},
             {.max_connections = this->connections.peers, .memory = &this->memory}),
       router({.daemon_id = this->settings.daemon_id,
               .zone = this->settings.zone,
@@ -124,6 +126,10 @@
     { return this->router.admission().take_surplus(daemon_id, core::boot_clock::now()); };
     callbacks->on_token_grant = [this](const token_grant_message& grant)
     { this->router.admission().on_token_grant(grant); };
+    callbacks->departures_for = [this](const std::string& daemon_id)
+    { return this->departures_for(daemon_id); };
+    callbacks->on_departures_held = [this](const std::string& daemon_id, std::uint64_t revision)
+    { this->departures.confirm(daemon_id, revision); };
     return callbacks;
 }
 
@@ -248,6 +254,7 @@
     }
     this->refresh_own_status();
     this->router.tick(now);
+    this->acknowledge_departures(now);
     if (now - this->last_measurement > measurement_interval)
     {
         this->last_measurement = now;
@@ -419,18 +426,21 @@
     if (const auto* heartbeat = std::get_if<instance_heartbeat>(&message))
     {
         this->on_heartbeat(*heartbeat);
-    }
-    else
-    {
-        this->probe.cancel();
-        if (this->instance.deregister(std::get<instance_deregistration>(message).id, core::boot_clock::now()))
+        if (heartbeat->draining && heartbeat->address == to_string(this->settings.upstream))
         {
-            this->on_instance_changed();
+            this->acknowledge_departure(request, heartbeat->id);
+            return;
         }
+        this->acknowledge(*request);
+        return;
     }
-    request->respond({.status = http_status::ok,
-                      .fields = this->platform.acknowledgement_fields,
-                      .body = this->platform.acknowledgement});
+    const std::string& leaving = std::get<instance_deregistration>(message).id;
+    this->probe.cancel();
+    if (this->instance.deregister(leaving, core::boot_clock::now(), core::wall_clock_ms()))
+    {
+        this->on_instance_changed();
+    }
+    this->acknowledge_departure(request, leaving);
 }
 
 void sidecar_daemon::on_heartbeat(instance_heartbeat heartbeat)
@@ -481,6 +491,10 @@
                               {"leaving", this->instance.is_leaving() ? "yes" : "no"}});
     this->dispatcher.on_instance_changed();
     this->refresh_own_status();
+    if (this->instance.accepts_work() && this->departures.withdraw(known->id))
+    {
+        this->share_departures();
+    }
 }
 
 void sidecar_daemon::on_ready(const std::shared_ptr<exchange>& request)
--- a/packages/sidecar/tests/instance_claim_test.cpp
+++ b/packages/sidecar/tests/instance_claim_test.cpp
@@ -32,6 +32,12 @@
     CPPUNIT_TEST(instance_gets_work_after_its_clock_was_set_back);
     CPPUNIT_TEST(instance_whose_health_checks_fail_is_believed_in_time);
     CPPUNIT_TEST(repeated_deregistration_changes_nothing);
+    CPPUNIT_TEST(false_health_answer_does_not_undo_a_departure_of_an_earlier_process);
+    CPPUNIT_TEST(recalled_departure_ends_the_work_that_a_false_health_answer_gave);
+    CPPUNIT_TEST(false_health_answer_and_late_heartbeat_do_not_undo_a_departure);
+    CPPUNIT_TEST(new_incarnation_under_the_old_id_gets_work_after_a_recalled_departure);
+    CPPUNIT_TEST(instance_whose_clock_was_set_back_gets_work_after_a_recalled_departure);
+    CPPUNIT_TEST(departure_of_a_former_incarnation_does_not_concern_the_running_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -276,6 +282,88 @@
         CPPUNIT_ASSERT(!draining.deregister("i-1", at(2s)));
     }
 
+    /// Review case 12: the process that acknowledged the departure was killed.
+    void false_health_answer_does_not_undo_a_departure_of_an_earlier_process()
+    {
+        instance_state state = restarted();
+        state.recall({.instance_id = "i-1", .last_start_ms = 1000});
+        for (int count = 0; count < 3; ++count)
+        {
+            CPPUNIT_ASSERT(!state.confirm(answer("i-1")));
+            CPPUNIT_ASSERT(!state.accepts_work());
+        }
+    }
+
+    void recalled_departure_ends_the_work_that_a_false_health_answer_gave()
+    {
+        instance_state state = restarted();
+        CPPUNIT_ASSERT(state.confirm(answer("i-1")));
+        CPPUNIT_ASSERT(state.recall({.instance_id = "i-1", .last_start_ms = 1000}));
+        CPPUNIT_ASSERT(!state.accepts_work());
+        state.confirm(answer("i-1"));
+        CPPUNIT_ASSERT(!state.accepts_work());
+        CPPUNIT_ASSERT(!state.recall({.instance_id = "i-1", .last_start_ms = 1000}));
+    }
+
+    /// Also without a restart: the start time of the instance was not known when it deregistered.
+    void false_health_answer_and_late_heartbeat_do_not_undo_a_departure()
+    {
+        instance_state recalled = restarted();
+        recalled.recall({.instance_id = "i-1", .last_start_ms = 1000});
+        instance_state told = restarted();
+        told.confirm(answer("i-1"));
+        told.deregister("i-1", at(1s), 5000);
+        for (instance_state* const state : {&recalled, &told})
+        {
+            state->apply(beat("i-1", 1000, 5, 2s));
+            state->confirm(answer("i-1"));
+            state->apply(beat("i-1", 1000, 6, 3s));
+            state->confirm(answer("i-1"));
+            CPPUNIT_ASSERT(!state->accepts_work());
+        }
+    }
+
+    void new_incarnation_under_the_old_id_gets_work_after_a_recalled_departure()
+    {
+        instance_state state = restarted();
+        state.recall({.instance_id = "i-1", .last_start_ms = 1000});
+        state.confirm(answer("i-1"));
+        CPPUNIT_ASSERT(state.apply(beat("i-1", 2000, 1, 1s)));
+        CPPUNIT_ASSERT(state.accepts_work());
+        instance_state before_check = restarted();
+        before_check.recall({.instance_id = "i-1", .last_start_ms = 1000});
+        before_check.apply(beat("i-1", 2000, 1, 1s));
+        CPPUNIT_ASSERT(before_check.confirm(answer("i-1")));
+        CPPUNIT_ASSERT(before_check.accepts_work());
+    }
+
+    void instance_whose_clock_was_set_back_gets_work_after_a_recalled_departure()
+    {
+        instance_state state = restarted();
+        state.recall({.instance_id = "i-1", .last_start_ms = 5000});
+        std::uint64_t sequence = 1;
+        core::duration time = 0s;
+        for (; time < instance_state::max_heartbeat_delay; time += 1500ms)
+        {
+            CPPUNIT_ASSERT(!state.apply(beat("i-1", 4000, ++sequence, time)));
+        }
+        CPPUNIT_ASSERT(state.apply(beat("i-1", 4000, ++sequence, time)));
+        CPPUNIT_ASSERT(state.accepts_work());
+        // A daemon that did not hear of it tells of the departure again.
+        CPPUNIT_ASSERT(!state.recall({.instance_id = "i-1", .last_start_ms = 5000}));
+        CPPUNIT_ASSERT(state.accepts_work());
+    }
+
+    void departure_of_a_former_incarnation_does_not_concern_the_running_one()
+    {
+        instance_state state = restarted();
+        state.apply(beat("i-1", 2000, 1, 1s));
+        state.confirm(answer("i-1"));
+        CPPUNIT_ASSERT(!state.recall({.instance_id = "i-1", .last_start_ms = 1000}));
+        CPPUNIT_ASSERT(!state.recall({.instance_id = "i-0", .last_start_ms = 9000}));
+        CPPUNIT_ASSERT(state.accepts_work());
+    }
+
 private:
     static core::time_point at(core::duration since_start) { return core::time_point{1h} + since_start; }
 
--- a/packages/sidecar/tests/instance_state_model_test.cpp
+++ b/packages/sidecar/tests/instance_state_model_test.cpp
@@ -1,3 +1,4 @@
+#include "laburnumreach/sidecar/departure_memory.hpp"
 #include "laburnumreach/sidecar/instance_state.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -25,7 +26,11 @@
 class simulation
 {
 public:
-    explicit simulation(std::uint32_t seed) : random(seed) { this->start_instance(); }
+    /// @param false_share share of the health checks that are answered falsely, either way
+    explicit simulation(std::uint32_t seed, double false_share = 0) : random(seed), false_answers(false_share)
+    {
+        this->start_instance();
+    }
 
     /// Advances the time by one step.
     /// @param with_trouble whether processes end
@@ -116,9 +121,8 @@
     {
         const bool same_id = this->chance(0.5);
         this->last_number += same_id && this->last_number > 0 ? 0 : 1;
-        const auto since_start = std::chrono::duration_cast<std::chrono::milliseconds>(this->now).count();
-        this->running = incarnation{.id = "i-" + std::to_string(this->last_number),
-                                    .started_ms = 1'000'000 + static_cast<std::uint64_t>(since_start)};
+        this->running =
+            incarnation{.id = "i-" + std::to_string(this->last_number), .started_ms = this->unix_ms()};
         this->next_heartbeat = this->now;
     }
 
@@ -132,6 +136,10 @@
                 {.address = "a", .history = instance_history::partial, .process_start = clock(this->now)}};
             this->answer.reset();
             this->check_allowed = true;
+            for (const instance_departure& departure : this->memory.departures_of("d"))
+            {
+                this->daemon.recall(departure);
+            }
         }
         if (!this->running)
         {
@@ -157,7 +165,7 @@
         {
             this->running->silent = true;
             this->answer.reset(); // The daemon discards an answer from before a departure.
-            this->daemon.deregister(this->running->id, clock(this->now));
+            this->daemon.deregister(this->running->id, clock(this->now), this->unix_ms());
         }
         else
         {
@@ -165,6 +173,16 @@
             this->daemon.apply(this->make_heartbeat());
         }
         this->running->acknowledged = true;
+        const instance_departure departure{.instance_id = this->running->id,
+                                           .last_start_ms =
+                                               this->daemon.last_departed_start(this->running->id)};
+        this->memory.record("d", std::span{&departure, 1}, {});
+    }
+
+    std::uint64_t unix_ms() const
+    {
+        const auto since_start = std::chrono::duration_cast<std::chrono::milliseconds>(this->now).count();
+        return 1'000'000 + static_cast<std::uint64_t>(since_start);
     }
 
     instance_heartbeat make_heartbeat()
@@ -225,7 +243,8 @@
         {
             return;
         }
-        const bool healthy = this->running && !this->running->leaving && !this->chance(0.2);
+        const bool is_false = this->chance(this->false_answers);
+        const bool healthy = this->running && this->running->leaving == is_false && !this->chance(0.2);
         this->answer = health_answer{.arrival = this->now + this->pick(300ms),
                                      .id = healthy ? std::optional{this->running->id} : std::nullopt};
     }
@@ -240,6 +259,8 @@
     std::vector<late_heartbeat> on_the_way;
     std::optional<health_answer> answer;
     bool check_allowed = true;
+    double false_answers;    ///< Share of the health checks that are answered falsely, either way.
+    departure_memory memory; ///< Of another daemon, for the next process of the daemon "d".
 };
 
 } // namespace
@@ -250,22 +271,17 @@
 {
     CPPUNIT_TEST_SUITE(instance_state_model_test);
     CPPUNIT_TEST(acknowledged_departures_bind_later_processes);
+    CPPUNIT_TEST(acknowledged_departures_bind_although_health_answers_are_false);
     CPPUNIT_TEST(running_instance_gets_work_after_the_trouble);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void acknowledged_departures_bind_later_processes()
+    void acknowledged_departures_bind_later_processes() { check_departures(0); }
+
+    void acknowledged_departures_bind_although_health_answers_are_false()
     {
-        for (std::uint32_t seed = 1; seed <= seeds; ++seed)
-        {
-            simulation played{seed};
-            for (int count = 0; count < steps; ++count)
-            {
-                played.advance(true);
-                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ' ' + played.state(),
-                                       !played.gives_work_to_a_leaving_instance());
-            }
-        }
+        check_departures(0.3);
+        check_departures(1);
     }
 
     void running_instance_gets_work_after_the_trouble()
@@ -290,6 +306,20 @@
     }
 
 private:
+    static void check_departures(double false_answers)
+    {
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed)
+        {
+            simulation played{seed, false_answers};
+            for (int count = 0; count < steps; ++count)
+            {
+                played.advance(true);
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ' ' + played.state(),
+                                       !played.gives_work_to_a_leaving_instance());
+            }
+        }
+    }
+
     static constexpr std::uint32_t seeds = 300;
     static constexpr int steps = 1200; ///< Two minutes.
 };
--- a/packages/sidecar/tests/running_daemon.hpp
+++ b/packages/sidecar/tests/running_daemon.hpp
@@ -21,11 +21,18 @@
         platform_bindings bindings;
         bool first_start = false;
         std::chrono::milliseconds stop_grace{1500};
+        bool store_holds_departures = false; ///< Whether a store confirms that it has them.
     };
 
     explicit running_daemon(const options& chosen)
         : log(chosen.id, this->pipe.descriptor()), daemon(settings_of(chosen), chosen.bindings, this->log)
     {
+        if (chosen.store_holds_departures)
+        {
+            this->daemon.departures_changed =
+                [this](std::span<const instance_departure>, std::uint64_t revision)
+            { this->daemon.post_departures_written(revision); };
+        }
         this->daemon.open();
         this->thread = std::thread{[this] { this->daemon.run(); }};
     }
@@ -60,6 +67,12 @@
         this->daemon.post_config({.version = version, .document = document});
     }
 
+    /// Passes departures that an earlier process wrote to the store.
+    void put_departures(std::vector<instance_departure> departures)
+    {
+        this->daemon.post_departures(std::move(departures));
+    }
+
     bool waits_for(const std::string& line)
     {
         const core::time_point limit = core::boot_clock::now() + std::chrono::seconds{10};
--- a/packages/sidecar/tests/store_watcher_test.cpp
+++ b/packages/sidecar/tests/store_watcher_test.cpp
@@ -28,6 +28,21 @@
         return true;
     }
 
+    core::result<bool> write_departures(const std::string&, std::span<const instance_departure> departures)
+    {
+        this->written_departures.assign(departures.begin(), departures.end());
+        return true;
+    }
+
+    core::result<std::vector<instance_departure>> read_departures(const std::string&)
+    {
+        if (this->departures_are_malformed)
+        {
+            return core::make_error(core::error_code::io, "malformed");
+        }
+        return std::vector<instance_departure>{{.instance_id = "i-1", .last_start_ms = 7}};
+    }
+
     core::result<member_listing> list_members(bool allow_stale)
     {
         if (this->fail_lists)
@@ -92,6 +107,8 @@
     int announced = 0;
     std::vector<bool> stale_listings_allowed; ///< One entry for each listing.
     std::vector<std::vector<call_ratio>> published;
+    std::vector<instance_departure> written_departures;
+    bool departures_are_malformed = false;
     std::uint64_t awaited_revision = 0;
     std::chrono::milliseconds awaited_timeout{};
 };
@@ -114,6 +131,9 @@
     CPPUNIT_TEST(availability_is_reported_on_change);
     CPPUNIT_TEST(calls_and_origins_are_reported);
     CPPUNIT_TEST(call_ratios_survive_a_restart_of_all_daemons);
+    CPPUNIT_TEST(departures_of_an_earlier_process_are_read_before_the_record_is_written);
+    CPPUNIT_TEST(malformed_departures_do_not_hold_up_other_calls);
+    CPPUNIT_TEST(departures_are_written_without_a_role_and_once);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -302,7 +322,68 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->store.published.size());
     }
 
+    /// A restarted daemon took a false health answer for an instance that does not leave.
+    void departures_of_an_earlier_process_are_read_before_the_record_is_written()
+    {
+        std::vector<instance_departure> recalled;
+        this->restarted(recalled).step();
+        this->restarted_watcher->step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, recalled.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"i-1"}, recalled.front().instance_id);
+        CPPUNIT_ASSERT_EQUAL(0, this->store.announced);
+    }
+
+    void malformed_departures_do_not_hold_up_other_calls()
+    {
+        std::vector<instance_departure> recalled;
+        this->store.departures_are_malformed = true;
+        store_watcher<fake_store>& watching = this->restarted(recalled);
+        for (int step = 0; step < 3; ++step)
+        {
+            CPPUNIT_ASSERT(watching.step());
+        }
+        CPPUNIT_ASSERT(recalled.empty());
+        CPPUNIT_ASSERT_EQUAL(1, this->store.announced);
+    }
+
+    void departures_are_written_without_a_role_and_once()
+    {
+        std::thread control{[this] { this->watcher.run(); }};
+        while (!this->listed)
+        {
+            std::this_thread::sleep_for(1ms);
+        }
+        const std::vector<instance_departure> departures{{.instance_id = "i-2", .last_start_ms = 9}};
+        this->watcher.set_departures(departures, 1);
+        while (this->written_revision == 0)
+        {
+            std::this_thread::sleep_for(1ms);
+        }
+        std::this_thread::sleep_for(50ms);
+        this->watcher.stop();
+        control.join();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, this->written_revision.load());
+        CPPUNIT_ASSERT_EQUAL(std::string{"i-2"}, this->store.written_departures.at(0).instance_id);
+        const std::vector<std::pair<std::string, bool>> expected{
+            {"read", false}, {"announce", false}, {"list", false}, {"departures", false}};
+        CPPUNIT_ASSERT(this->calls == expected);
+    }
+
 private:
+    /// Makes the watcher of a process that follows another one.
+    store_watcher<fake_store>& restarted(std::vector<instance_departure>& recalled)
+    {
+        store_watcher_callbacks reports;
+        reports.config = [](const stored_config&) {};
+        reports.members = [](const std::vector<member_record>&) {};
+        reports.ratios = [](const std::vector<call_ratio>&) {};
+        reports.store_works = [](bool) {};
+        reports.recalled_departures = [&recalled](std::vector<instance_departure> found)
+        { recalled = std::move(found); };
+        return this->restarted_watcher.emplace(this->store, member_record{.daemon_id = "d"}, reports,
+                                               this->events);
+    }
+
     /// Runs the watcher up to its first watch call.
     void start()
     {
@@ -320,6 +401,8 @@
     std::vector<std::pair<std::string, bool>> calls; ///< With whether they failed.
     std::vector<call_ratio> ratios;
     std::atomic<bool> listed{false};
+    std::atomic<std::uint64_t> written_revision{0}; ///< Of the departures.
+    std::optional<store_watcher<fake_store>> restarted_watcher;
     store_watcher<fake_store> watcher{
         store,
         {.daemon_id = "d"},
@@ -328,7 +411,9 @@
          .ratios = [this](std::vector<call_ratio> found) { this->ratios = std::move(found); },
          .store_works = [this](bool works) { this->availability.push_back(works); },
          .store_call = [this](const store_call_report& report)
-         { this->calls.emplace_back(report.call, report.failed); }},
+         { this->calls.emplace_back(report.call, report.failed); },
+         .recalled_departures = {},
+         .departures_written = [this](std::uint64_t revision) { this->written_revision = revision; }},
         events};
 };
 
