Believe draining with an earlier start when the later one is silent

Callers saw: an instance started again under its id after its clock had been set back.

Cause: a heartbeat with the id of the known incarnation and an earlier start was taken for a late one of a former incarnation.

Change: such a `draining` is believed if a ready heartbeat with that start came since the known incarnation was heard last. A further heartbeat of the later start then needs a health check.

--- a/packages/sidecar/include/laburnumreach/sidecar/instance_state.hpp
+++ b/packages/sidecar/include/laburnumreach/sidecar/instance_state.hpp
@@ -147,6 +147,9 @@
     core::time_point doubt_since{}; ///< Time of the last event that a claim contradicts.
     /// Whether the current incarnation sent a ready heartbeat after all that earlier processes acknowledged.
     bool current_is_proven = false;
+    /// Start time of another incarnation under the id of the current one, with an earlier start, that sent a
+    /// ready heartbeat since the last one of the current incarnation; zero for none.
+    std::uint64_t heard_earlier_start = 0;
     std::vector<departed_instance> departed;
 };
 
--- a/packages/sidecar/src/instance_state.cpp
+++ b/packages/sidecar/src/instance_state.cpp
@@ -42,7 +42,25 @@
         return this->apply_same(heartbeat);
     case relation::earlier:
         // Late, unless the clock was set back before the instance started.
-        return heartbeat.id != this->current->id && !heartbeat.draining && this->contest(heartbeat);
+        if (heartbeat.id != this->current->id)
+        {
+            return !heartbeat.draining && this->contest(heartbeat);
+        }
+        if (!heartbeat.draining)
+        {
+            this->heard_earlier_start = heartbeat.started_ms;
+            return false;
+        }
+        if (this->leaving || this->heard_earlier_start != heartbeat.started_ms)
+        {
+            return false;
+        }
+        // The incarnation with the later start has been silent since the other one was heard. Start times do
+        // not tell which of them runs, so a further heartbeat needs a health check.
+        this->record_departure(
+            {.departure = {.instance_id = heartbeat.id, .last_start_ms = heartbeat.started_ms},
+             .may_include_later = true});
+        return this->adopt(heartbeat, true);
     case relation::later:
         if (heartbeat.draining || (this->knew_working_instance && !this->may_have_departed(heartbeat) &&
                                    heartbeat.service == this->current->service))
@@ -85,6 +103,7 @@
         return false;
     }
     this->doubt_since = heartbeat.received;
+    this->heard_earlier_start = 0;
     // An incarnation that started to drain never accepts new work again, even if a later heartbeat is not
     // draining.
     const bool changed = (heartbeat.draining && !this->leaving) ||
@@ -140,6 +159,7 @@
     this->claim.reset();
     this->confirmed_id.clear();
     this->current_is_proven = false;
+    this->heard_earlier_start = 0;
     if (!is_leaving)
     {
         std::erase_if(this->departed, [&](const departed_instance& entry)
--- a/packages/sidecar/tests/instance_claim_test.cpp
+++ b/packages/sidecar/tests/instance_claim_test.cpp
@@ -38,6 +38,9 @@
     CPPUNIT_TEST(new_incarnation_under_the_old_id_gets_work_after_a_recalled_departure);
     CPPUNIT_TEST(instance_whose_clock_was_set_back_gets_work_after_a_recalled_departure);
     CPPUNIT_TEST(departure_of_a_former_incarnation_does_not_concern_the_running_one);
+    CPPUNIT_TEST(draining_with_an_earlier_start_time_binds);
+    CPPUNIT_TEST(
+        late_draining_of_a_former_incarnation_under_the_same_id_holds_up_the_running_one_until_a_check);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -364,6 +367,43 @@
         CPPUNIT_ASSERT(state.accepts_work());
     }
 
+    /// Review case 13: the clock was set back between two starts under one id, and `draining` was ignored.
+    void draining_with_an_earlier_start_time_binds()
+    {
+        instance_state state{"a"};
+        state.apply(beat("i-1", 5000, 1, 0s));
+        state.apply(beat("i-1", 4000, 1, 1s));
+        CPPUNIT_ASSERT(state.apply(beat("i-1", 4000, 2, 20s, true)));
+        CPPUNIT_ASSERT(!state.accepts_work());
+        state.apply(beat("i-1", 4000, 3, 21s));
+        state.confirm(answer("i-1"));
+        CPPUNIT_ASSERT(!state.accepts_work());
+        instance_state other{"a"};
+        other.apply(beat("i-2", 5000, 1, 0s));
+        other.apply(beat("i-3", 4000, 1, 1s, true));
+        other.apply(beat("i-3", 4000, 2, 2s));
+        other.confirm(answer("i-3"));
+        CPPUNIT_ASSERT(other.instance()->id != "i-3" || !other.accepts_work());
+    }
+
+    void late_draining_of_a_former_incarnation_under_the_same_id_holds_up_the_running_one_until_a_check()
+    {
+        instance_state state{"a"};
+        state.apply(beat("i-1", 1000, 1, 0s));
+        state.apply(beat("i-1", 2000, 1, 1s));
+        state.apply(beat("i-1", 1000, 8, 2s));
+        state.apply(beat("i-1", 2000, 2, 3s));
+        CPPUNIT_ASSERT(!state.apply(beat("i-1", 1000, 9, 3s, true)));
+        CPPUNIT_ASSERT(state.accepts_work());
+        state.apply(beat("i-1", 1000, 8, 4s));
+        CPPUNIT_ASSERT(state.apply(beat("i-1", 1000, 9, 4s, true)));
+        CPPUNIT_ASSERT(!state.accepts_work());
+        state.apply(beat("i-1", 2000, 3, 5s));
+        CPPUNIT_ASSERT(state.needs_check());
+        CPPUNIT_ASSERT(state.confirm(answer("i-1")));
+        CPPUNIT_ASSERT(state.accepts_work());
+    }
+
 private:
     static core::time_point at(core::duration since_start) { return core::time_point{1h} + since_start; }
 
